--- /dev/null
+++ b/include/ochrehill/ochrehill.hpp
@@ -0,0 +1,161 @@
+// ochrehill: the decisions of an HTTP load balancer run as a small bank of proxies.
+//
+// The embedding proxy feeds a Balancer with events and the clock, and carries out the actions that
+// come back. The Balancer does no I/O, reads no clock, starts no thread and keeps no globals: the same
+// seed, settings and events give the same actions.
+//
+// Misuse: an event that names an unknown request, attempt or host is ignored; so is a second request
+// under an id that is still open. A request of an unknown class is handled as Effect::fragile with the
+// lowest worth. Settings that make no sense are rejected by the constructor (std::invalid_argument).
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ochrehill {
+
+using Duration = std::chrono::nanoseconds;
+using Time = std::chrono::nanoseconds;  // since any fixed start; must never go back
+using RequestId = std::uint64_t;        // chosen by the caller, never used again
+using HostId = std::uint32_t;           // given out by the Balancer at first sight of an address
+inline constexpr std::uint32_t kNone = UINT32_MAX;
+
+enum class Effect { retryable, dedup, fragile };  // may it run again?
+enum class Group { all, zone, cell };             // which hosts drop repeats of a dedup request together
+
+struct ClassSettings {
+  std::string name;
+  Duration aim{};     // full worth up to here
+  Duration giveUp{};  // the client's total wait
+  Duration window{};  // dedup: how long repeats are dropped
+  Effect effect = Effect::fragile;
+  Group group = Group::all;
+  double worth = 1;
+  double lateShare = 0;   // share of the worth for an answer past the aim
+  double aimStretch = 0;  // extra time on the aim, in multiples of the request's cost
+  bool inTurn = false;    // requests with one key go one at a time, in order, over all such classes
+  std::optional<std::vector<std::string>> zones;  // the only zones it may be sent to; absent: any
+  std::optional<std::vector<std::string>> kinds;  // the only machine kinds; an empty list allows none
+};
+
+struct TenantSettings {
+  std::string name;
+  double quotaPerSecond = 0;  // over all gateways; 0 = no quota
+};
+
+struct Settings {
+  std::uint64_t seed = 1;
+  std::uint32_t groupSize = 1;  // gateways in the bank, this one included
+  std::uint32_t number = 0;     // this gateway's number among them, from 0
+  std::string zone;
+  std::vector<ClassSettings> classes;
+  std::vector<TenantSettings> tenants;
+  double overShareWorth = 0.1;    // worth left to what a tenant sends beyond its quota
+  bool askDiscovery = false;      // the host list comes only when asked for
+  bool liveWeights = false;       // HostEntry::weight falls with what a host holds: size / (1 + held a core)
+  bool parallelTries = false;     // a second attempt may be out while the first runs
+  bool warmKeys = false;          // a host that lately served a key serves it with less work
+  bool retryAfter = false;        // clients receive a retry-after
+  bool cancel = false;            // attempts may be cancelled
+  std::uint32_t maxAttempts = 1;  // for one request
+  std::uint32_t streamsPerConnection = 1;  // attempts that one connection carries at a time
+  Duration idleClose{};                    // a connection without use is closed after this; 0 = never
+  Duration maxRetryAfter{};                // the longest that clients heed
+  Duration askWithin{};                    // askDiscovery: longest silence towards discovery; 0 = no limit
+  Duration step{};                         // spacing of the event batches: how late the clock may be read
+  Duration coldTime{};                     // a host is warm this long after its start
+  double coldShare = 1;                    // share of its capacity that it starts with
+  double fallMultiple = 3;                 // a cold host falls when sent this multiple of its capacity
+  Duration fallWindow{};                   // for this long
+  Duration keyRest{};                      // inTurn: a key rests so long after a time-out, reset or cancel
+};
+
+enum class Phase { in, draining, out };
+
+struct HostEntry {
+  std::string address;
+  std::string zone;
+  std::string kind;  // machine kind
+  std::int64_t cell = 0;
+  double weight = 1;  // comparable across hosts
+  Phase phase = Phase::in;
+  Time upSince{};  // latest start; zero = long past
+};
+
+enum class ListKind { update, replace, restored, unavailable };
+
+struct Request {
+  RequestId id = 0;
+  std::uint32_t classIndex = kNone;   // into Settings::classes
+  std::uint32_t tenantIndex = kNone;  // into Settings::tenants
+  Duration left{};                    // until the client gives this try up
+  Duration cost{};                    // expected work; zero = not known
+  std::uint64_t key = 0;
+  bool hasKey = false;
+};
+
+enum class Outcome {
+  served,
+  error,          // may have run
+  full,           // turned away unseen
+  timeout,        // may have run
+  connectFailed,  // never ran
+  reset,          // may have run
+  cancelled,      // may have run
+  moot            // not sent
+};
+
+struct AttemptResult {
+  RequestId request = 0;
+  std::uint32_t attempt = 0;
+  HostId host = kNone;
+  Outcome outcome = Outcome::served;
+  Duration taken{};
+  bool terminal = false;  // nothing more is owed for the request
+};
+
+enum class ActionKind { send, refuse, fail, cancel, close, wake, subscribe, log };
+
+struct Action {
+  ActionKind kind = ActionKind::log;
+  RequestId request = 0;      // send, refuse, fail, cancel
+  std::uint32_t attempt = 0;  // send, cancel: number of the attempt, from 0
+  HostId host = kNone;        // send; close: its idle connections
+  Duration span{};            // send: time limit; refuse: retry-after (0 = none); wake: the clock time
+  std::string text;           // log
+};
+
+class Balancer {
+ public:
+  // Throws std::invalid_argument that says which setting is wrong.
+  Balancer(Settings settings, Time now);
+  ~Balancer();
+  Balancer(Balancer&&) noexcept;
+  Balancer& operator=(Balancer&&) noexcept;
+
+  void onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
+  void onRequest(Time now, const Request& request);
+  void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
+  void onResult(Time now, const AttemptResult& result);
+  void onClientGone(Time now, RequestId request);
+  void onWake(Time now);  // at or after the time asked for in ActionKind::wake; extra calls do no harm
+
+  // Actions since the last clear, in the order in which they are to be carried out.
+  std::vector<Action>& actions();
+
+  HostId findHost(std::string_view address) const;  // kNone if no list has named it
+  const std::string& address(HostId host) const;
+  double cutoff() const;             // 0 to 100: scores below it are refused now
+  std::size_t openRequests() const;  // requests and attempts not yet over
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/state.hpp
@@ -0,0 +1,132 @@
+// Plain state of the decision module and pure helpers; nothing is decided here.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "ochrehill/ochrehill.hpp"
+
+namespace ochrehill {
+
+inline double toSeconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+inline Duration scaled(Duration d, double by) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(d.count()) * by));
+}
+
+inline std::uint64_t mix(std::uint64_t x) {  // splitmix64 finisher
+  x += 0x9e3779b97f4a7c15ULL;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+inline std::uint64_t hashText(std::string_view text) {  // FNV-1a: the same at every gateway
+  std::uint64_t h = 0xcbf29ce484222325ULL;
+  for (unsigned char c : text) h = (h ^ c) * 0x100000001b3ULL;
+  return mix(h);
+}
+
+inline bool names(const std::optional<std::vector<std::string>>& list, const std::string& name) {
+  return !list || std::find(list->begin(), list->end(), name) != list->end();
+}
+
+inline double quantile(std::vector<double>& v, double at, double none) {
+  if (v.empty()) return none;
+  const auto nth = v.begin() + static_cast<std::ptrdiff_t>(at * static_cast<double>(v.size() - 1));
+  std::nth_element(v.begin(), nth, v.end());
+  return *nth;
+}
+
+constexpr std::size_t kTries = 8;  // attempts kept for one request
+
+enum class Health { good, ejected, trial };
+
+struct Host {
+  HostEntry entry;
+  std::uint64_t hash = 0;
+  bool local = false;
+  int inflight = 0;
+  double pace = 1;  // time taken against the class's usual time
+  double fails = 0;
+  double served = 0;                // answers since the last sweep
+  std::size_t kind = 0;             // into kinds
+  std::vector<bool> open;           // by class: its placement allows this host
+  std::vector<double> classFails;   // by class: share of the recent attempts that failed
+  double outcomes = 0, errors = 0;  // decayed counts, for the pool's error rate
+  Health health = Health::good;
+  Time until{};  // end of the ejection
+  int ejections = 0;
+  double crowd = 1, share = 1;  // one and what it holds a core, as last told; of its draws kept
+  bool silent = false;
+  int lines = 0;  // connections that should be open
+  Time heard{}, used{};
+  int fulls = 0;                  // "full" answers on end
+  Time restUntil{}, dialAfter{};  // nothing is sent before; no new connection is opened before
+  int dialFails = 0;              // connections on end that could not be opened
+  double coldTokens = 0;
+  Time coldAt{};
+  std::deque<std::pair<std::uint32_t, std::uint32_t>> sent;  // (slot, generation) in order of sending
+};
+
+struct Try {
+  HostId host = kNone;
+  Time at{};
+  bool out = false, mayHaveRun = false, cancelled = false, dialled = false;
+  std::size_t age = 0;  // of the connection used: how long it lay idle, as a step of Lost; 0 = fresh or new
+};
+
+struct Open {
+  RequestId id = 0;
+  std::uint32_t generation = 0;
+  std::uint32_t cls = kNone;
+  Time deadline{}, aimAt{};
+  double cost = 0;  // against the class's mean
+  std::uint64_t key = 0;
+  bool hasKey = false, live = false, ended = false, bound = false;
+  std::array<Try, kTries> tries;
+  std::uint32_t count = 0, out = 0;
+};
+
+struct Kind {  // machines of one size
+  std::string name;
+  double pace = 1;               // of its hosts in the mean: what a host not heard of is taken for
+  double weight = 0;             // of an empty host
+  double served = 0, count = 0;  // by warm hosts since the last sweep, and how many they are
+  double rate = 0, proven = 0;   // answers a second that a warm host of this kind gives us; kept for a while
+};
+
+struct Level {  // requests of one worth, for the ranks
+  double worth = 0, seen = 0;
+};
+
+struct ClassState {
+  ClassSettings set;
+  double norm = 0;      // seconds; zero until the first answer
+  double meanCost = 0;  // seconds, of the hints
+  Duration usualLeft{};
+  double fails = 0;  // share of failed attempts, over all hosts
+};
+
+struct Turn {  // of one key: who waits, in order of arrival; the first one has the turn
+  std::deque<std::uint32_t> queue;
+  Time restUntil{};
+};
+
+enum class Due { answer, copy, turn };  // last moment for an answer; a second copy; a look at the key's turn
+
+struct Guard {
+  Time at;
+  std::uint32_t slot, generation;
+  Due due;
+  bool operator>(const Guard& o) const { return at != o.at ? at > o.at : slot > o.slot; }
+};
+
+}  // namespace ochrehill
