Serve the decisions on real sockets: the gateway program

Seen: the module ran behind the simulator's wire only. Checked and ruled out: settings of a real gateway name streamsPerConn 1 already; it is fixed in config.cpp so that another value can't make the module take a busy connection for a free one.

--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,175 @@
+#include "net/config.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace cairnjunction {
+namespace {
+
+using nlohmann::json;
+using ochrehill::Duration;
+
+template <class T>
+void read(const json& object, const char* name, T& into) {
+  const auto it = object.find(name);
+  if (it == object.end() || it->is_null()) return;
+  try {
+    if constexpr (std::is_same_v<T, Duration>) into = Duration(it->get<std::int64_t>());
+    else if constexpr (std::is_same_v<T, std::uint32_t>) {
+      const auto n = it->get<std::int64_t>();
+      if (n < 0 || n > std::numeric_limits<std::uint32_t>::max()) throw BadConfig("out of range");
+      into = static_cast<std::uint32_t>(n);
+    } else into = it->get<T>();
+  } catch (const std::exception& bad) {
+    throw BadConfig(std::string(name) + ": " + bad.what());
+  }
+}
+
+const json& part(const json& object, const char* name) {
+  static const json none = json::object();
+  const auto it = object.find(name);
+  if (it == object.end()) return none;
+  if (!it->is_object()) throw BadConfig(std::string(name) + " is no object");
+  return *it;
+}
+
+ochrehill::ClassSettings readClass(const json& grade) {
+  if (!grade.is_object()) throw BadConfig("grades: an entry is no object");
+  ochrehill::ClassSettings c;
+  std::string effect = "fragile", group = "all";
+  read(grade, "name", c.name);
+  read(grade, "aimNs", c.aim);
+  read(grade, "giveUpNs", c.giveUp);
+  read(grade, "windowNs", c.window);
+  read(grade, "points", c.worth);
+  read(grade, "lateShare", c.lateShare);
+  read(grade, "aimStretch", c.aimStretch);
+  read(grade, "inTurn", c.inTurn);
+  read(grade, "effect", effect);
+  read(grade, "group", group);
+  if (effect == "retryable") c.effect = ochrehill::Effect::retryable;
+  else if (effect == "dedup") c.effect = ochrehill::Effect::dedup;
+  else if (effect != "fragile") throw BadConfig("effect: unknown '" + effect + "'");
+  if (group == "zone") c.group = ochrehill::Group::zone;
+  else if (group == "cell") c.group = ochrehill::Group::cell;
+  else if (group != "all") throw BadConfig("group: unknown '" + group + "'");
+  std::vector<std::string> names;
+  if (grade.contains("staysIn")) read(grade, "staysIn", names), c.zones = names;
+  names.clear();
+  if (grade.contains("boundTo")) read(grade, "boundTo", names), c.kinds = names;
+  c.giveUp = std::max(c.giveUp, c.aim);
+  return c;
+}
+
+ochrehill::Settings readSettings(const json& settings) {
+  ochrehill::Settings s;
+  std::string registryMode, weights;
+  read(settings, "groupSize", s.groupSize);
+  read(settings, "myNumber", s.number);
+  read(settings, "zone", s.zone);
+  read(settings, "overShareWorth", s.overShareWorth);
+  read(settings, "registryMode", registryMode);
+  read(settings, "weights", weights);
+  read(settings, "stepNs", s.step);
+  s.askDiscovery = registryMode == "ask";
+  s.liveWeights = weights == "live";
+  read(part(settings, "domain"), "warmKeys", s.warmKeys);
+  const json& ceilings = part(settings, "ceilings");
+  read(ceilings, "parallelTries", s.parallelTries);
+  read(ceilings, "retryAfter", s.retryAfter);
+  read(ceilings, "cancel", s.cancel);
+  read(ceilings, "maxAttempts", s.maxAttempts);
+  read(ceilings, "idleCloseNs", s.idleClose);
+  read(ceilings, "maxRetryAfterNs", s.maxRetryAfter);
+  // A connection carries one request at a time on sockets, whatever the simulator's setting says: with more
+  // the module would take a busy connection for a free one.
+  s.streamsPerConnection = 1;
+  const json& rules = part(settings, "rules");
+  read(rules, "askWithinNs", s.askWithin);
+  read(rules, "coldNs", s.coldTime);
+  read(rules, "coldShare", s.coldShare);
+  read(rules, "fallMultiple", s.fallMultiple);
+  read(rules, "fallNs", s.fallWindow);
+  read(rules, "keyRestNs", s.keyRest);
+  const auto grades = settings.find("grades");
+  if (grades == settings.end() || !grades->is_array()) throw BadConfig("grades: missing or no list");
+  for (const json& grade : *grades) s.classes.push_back(readClass(grade));
+  if (const auto tenants = settings.find("tenants"); tenants != settings.end() && tenants->is_array())
+    for (const json& tenant : *tenants) {
+      ochrehill::TenantSettings t;
+      read(tenant, "name", t.name);
+      read(tenant, "quotaRps", t.quotaPerSecond);
+      s.tenants.push_back(t);
+    }
+  return s;
+}
+
+std::uint64_t readSeed(const std::string& text) {
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc{} || end != text.data() + text.size())
+    throw BadConfig("seed: '" + text + "' is no hexadecimal number");
+  return seed;
+}
+
+// The variable goes before the file's entry.
+std::string told(const json& config, const char* name, const char* variable, const Environment& environment) {
+  std::string text;
+  if (const char* value = environment(variable)) text = value;
+  else read(config, name, text);
+  return text;
+}
+
+tcp::endpoint toldEndpoint(const json& config, const char* name, const char* variable,
+                           const Environment& environment) {
+  const std::string text = told(config, name, variable, environment);
+  if (text.empty()) throw BadConfig(std::string(variable) + " is not set");
+  try {
+    return parseEndpoint(text);
+  } catch (const std::invalid_argument& bad) {
+    throw BadConfig(std::string(variable) + ": " + bad.what());
+  }
+}
+
+}  // namespace
+
+Config parseConfig(const json& json, const Environment& environment) {
+  if (!json.is_object()) throw BadConfig("the configuration is no object");
+  Config config;
+  config.name = told(json, "name", "GW_NAME", environment);
+  config.listen = toldEndpoint(json, "listen", "GW_LISTEN", environment);
+  config.discovery = toldEndpoint(json, "discovery", "GW_DISCOVERY", environment);
+  config.module = readSettings(part(json, "settings"));
+  std::string seed;
+  read(json, "seed", seed);
+  if (!seed.empty()) config.module.seed = readSeed(seed);
+  read(part(json, "limits"), "sockets", config.sockets);
+  if (config.sockets < 64) throw BadConfig("sockets: at least 64 are needed");
+  config.connectTimeout = std::chrono::milliseconds(250);
+  read(part(part(json, "settings"), "ceilings"), "connectTimeoutNs", config.connectTimeout);
+  if (json.contains("known")) try {
+      config.known = parseHostList(json.at("known"));
+    } catch (const std::invalid_argument& bad) {
+      throw BadConfig(std::string("known: ") + bad.what());
+    }
+  try {  // the module judges its own settings
+    ochrehill::Balancer probe(config.module, Duration{});
+  } catch (const std::invalid_argument& bad) {
+    throw BadConfig(bad.what());
+  }
+  return config;
+}
+
+Config readConfig(const Environment& environment) {
+  const char* path = environment("GW_CONFIG");
+  if (!path) throw BadConfig("GW_CONFIG is not set");
+  std::ifstream file(path);
+  if (!file) throw BadConfig(std::string("cannot read ") + path);
+  const json parsed = json::parse(file, nullptr, false);
+  if (parsed.is_discarded()) throw BadConfig(std::string(path) + " holds no JSON");
+  return parseConfig(parsed, environment);
+}
+
+}  // namespace cairnjunction
--- /dev/null
+++ b/src/net/config.hpp
@@ -0,0 +1,40 @@
+// What the gateway is told at its start: GW_* variables and the JSON file, as typed settings.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "net/host_list.hpp"
+#include "ochrehill/ochrehill.hpp"
+
+namespace cairnjunction {
+
+using tcp = boost::asio::ip::tcp;
+
+struct BadConfig : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  tcp::endpoint listen, discovery;
+  std::size_t sockets = 1024;            // file descriptors that the process may hold
+  ochrehill::Duration connectTimeout{};  // for a new connection to a host
+  ochrehill::Settings module;            // for the decisions
+  std::optional<HostList> known;         // hosts as last had; may be old
+};
+
+using Environment = std::function<const char*(const char*)>;  // as getenv
+
+// Both throw BadConfig with one line that says what is wrong.
+Config readConfig(const Environment& environment);
+Config parseConfig(const nlohmann::json& json, const Environment& environment);
+
+}  // namespace cairnjunction
--- /dev/null
+++ b/src/net/discovery.hpp
@@ -0,0 +1,58 @@
+// The watch on discovery. When to begin one anew after a failure is decided by the module.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "net/host_list.hpp"
+
+namespace cairnjunction {
+
+class Discovery {
+ public:
+  struct Callbacks {
+    std::function<void(const HostList&)> told;
+    std::function<void()> failed;  // the watch is over
+  };
+  struct Waits {
+    std::chrono::milliseconds watch{20000};  // a watch may wait so long,
+    std::chrono::milliseconds answer{2000};  // and any call so much longer before it counts as lost
+  };
+
+  Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server, Callbacks callbacks,
+            Waits waits);
+  ~Discovery();
+  Discovery(const Discovery&) = delete;
+  Discovery& operator=(const Discovery&) = delete;
+
+  void knows(std::int64_t version) { version_ = version; }  // of the list held already
+  void watch();                                             // begins a watch; one that is on is given up
+  void stop();
+
+ private:
+  struct Call;
+  enum class Kind { list, first, next };
+
+  void call(Kind kind);
+  void ended(Kind kind, const std::optional<HostList>& list);
+  void fail();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::endpoint server_;
+  Callbacks callbacks_;
+  Waits waits_;
+  std::optional<std::int64_t> version_;
+  std::shared_ptr<Call> call_;
+};
+
+}  // namespace cairnjunction
--- /dev/null
+++ b/src/net/host_pool.cpp
@@ -0,0 +1,271 @@
+#include "net/host_pool.hpp"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace cairnjunction {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using ochrehill::Duration;
+using ochrehill::HostId;
+using ochrehill::Outcome;
+using tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+
+constexpr Duration kSweep = std::chrono::milliseconds(250);
+// Danger: a request written to a connection that the host is just closing ends as a reset, which may have
+// run. Given up earlier than the host would by this, or by a fifth of a short limit.
+constexpr Duration kIdleMargin = std::chrono::seconds(2);
+
+// A break while the answer is read: the host's end of the connection went, or it sent what is no answer.
+Outcome brokenRead(error_code ec) {
+  const bool garbage = ec.category() == http::make_error_code(http::error::bad_version).category() &&
+                       ec != http::error::end_of_stream && ec != http::error::partial_message;
+  return garbage ? Outcome::error : Outcome::reset;
+}
+
+}  // namespace
+
+struct HostPool::Connection : std::enable_shared_from_this<Connection> {
+  enum class Phase { connecting, writing, reading, idle, closed };
+
+  HostPool* pool;
+  HostId host;
+  tcp::socket socket;
+  asio::steady_timer timer;
+  boost::beast::flat_buffer buffer{kHeaderLimit + kBodyLimit};
+  std::optional<http::response_parser<http::string_body>> parser;
+  HttpRequest request;
+  AttemptKey key;
+  Phase phase = Phase::connecting;
+  Clock::time_point sentAt, idleSince, deadline;
+  std::uint64_t turn = 0;  // of the timer: one that is already due when it is moved is told by it
+  bool watching = false;
+
+  Connection(HostPool& p, HostId h) : pool(&p), host(h), socket(p.io_), timer(p.io_) { ++p.open_; }
+
+  void close() {
+    if (phase == Phase::closed) return;
+    phase = Phase::closed;
+    ++turn;
+    timer.cancel();
+    error_code ignored;
+    socket.close(ignored);
+    --pool->open_;
+  }
+
+  void limit(Clock::time_point at, Outcome outcome) {
+    timer.expires_at(at);
+    timer.async_wait([self = shared_from_this(), mine = ++turn, outcome](error_code ec) {
+      if (!ec && mine == self->turn && self->phase != Phase::closed) self->end(outcome);
+    });
+  }
+
+  void connect(const tcp::endpoint& endpoint) {
+    // Until the connection is up nothing has been written, so the end of the attempt's own time proves here
+    // that it never ran, as the end of the time for connecting does.
+    limit(std::min(deadline, sentAt + pool->limits_.connectTimeout), Outcome::connectFailed);
+    error_code ec;
+    socket.open(endpoint.protocol(), ec);  // fails when no descriptor is left
+    if (ec) return end(Outcome::connectFailed);
+    socket.async_connect(endpoint, [self = shared_from_this()](error_code connectError) {
+      if (self->phase != Phase::connecting) return;
+      if (connectError) return self->end(Outcome::connectFailed);
+      error_code ignored;
+      self->socket.set_option(tcp::no_delay(true), ignored);
+      self->write();
+    });
+  }
+
+  void write() {
+    phase = Phase::writing;
+    limit(deadline, Outcome::timeout);
+    http::async_write(socket, request, [self = shared_from_this()](error_code ec, std::size_t) {
+      if (self->phase != Phase::writing) return;
+      // An error here means that the last byte was not written: it never ran.
+      if (ec) return self->end(Outcome::connectFailed);
+      self->read();
+    });
+  }
+
+  void read() {
+    phase = Phase::reading;
+    parser.emplace();
+    parser->body_limit(kBodyLimit);
+    parser->header_limit(kHeaderLimit);
+    http::async_read(socket, buffer, *parser, [self = shared_from_this()](error_code ec, std::size_t) {
+      if (self->phase != Phase::reading) return;
+      self->end(ec ? brokenRead(ec) : self->judge(), !ec && self->reusable());
+    });
+  }
+
+  Outcome judge() const {
+    const auto& answer = parser->get();
+    const http::status status = answer.result();
+    // Danger: an answer framed by the end of the connection can't be told from one that was cut.
+    if (status == http::status::ok && !answer.chunked() && !answer.has_content_length())
+      return Outcome::reset;
+    if (status == http::status::ok) return Outcome::served;
+    const bool busy = status == http::status::service_unavailable || status == http::status::gateway_timeout;
+    if (busy && answer["X-Not-Run"] == "1") return Outcome::full;
+    return Outcome::error;  // it may have run, whatever the answer says
+  }
+
+  bool reusable() const { return parser->get().keep_alive() && buffer.size() == 0; }
+
+  // Ends the attempt. The connection is kept only after a whole answer: what comes late on one that was
+  // given up would be taken for the answer to the next request.
+  void end(Outcome outcome, bool keep = false) {
+    const auto self = shared_from_this();
+    AttemptEnd done{key, host, outcome, Clock::now() - sentAt, {}};
+    if (outcome == Outcome::served) done.answer = parser->release();
+    parser.reset();
+    pool->busy_.erase(key);
+    if (keep) rest();
+    else close();
+    pool->ended_(std::move(done));
+  }
+
+  void rest() {
+    phase = Phase::idle;
+    ++turn;
+    timer.cancel();
+    request = {};
+    idleSince = Clock::now();
+    pool->hostOf(host).idle.push_back(shared_from_this());
+    watch();
+  }
+
+  // An idle connection becomes readable when the host closes it; what a host says unasked ends it as well.
+  void watch() {
+    if (watching) return;
+    watching = true;
+    socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
+      self->watching = false;
+      if (self->phase == Phase::idle) self->pool->dropIdle(self);
+    });
+  }
+
+  // Seen at once, also when the event loop has not come to it yet.
+  bool usable() {
+    char byte;
+    error_code ec;
+    socket.non_blocking(true, ec);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block || ec == asio::error::try_again;
+  }
+};
+
+HostPool::HostPool(asio::io_context& io, Limits limits, Ended ended)
+    : io_(io), limits_(limits), ended_(std::move(ended)), sweeper_(io) {
+  sweep();
+}
+
+HostPool::~HostPool() { stop(); }
+
+void HostPool::stop() {
+  sweeper_.cancel();
+  for (auto& [key, connection] : std::exchange(busy_, {})) connection->close();
+  for (Host& host : hosts_)
+    for (auto& connection : std::exchange(host.idle, {})) connection->close();
+}
+
+HostPool::Host& HostPool::hostOf(HostId host) {
+  if (hosts_.size() <= host) hosts_.resize(host + std::size_t{1});
+  return hosts_[host];
+}
+
+void HostPool::setEndpoint(HostId host, const tcp::endpoint& endpoint) {
+  Host& h = hostOf(host);
+  if (h.endpoint == endpoint) return;
+  closeIdle(host);
+  h.endpoint = endpoint;
+}
+
+void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit) {
+  const auto now = Clock::now();
+  std::shared_ptr<Connection> connection = takeIdle(host);
+  const bool fresh = !connection;
+  if (fresh) {
+    if (open_ >= limits_.connections && !closeOldestIdle())
+      return ended_({key, host, Outcome::connectFailed, {}, {}});
+    connection = std::make_shared<Connection>(*this, host);
+  }
+  connection->key = key;
+  connection->request = std::move(request);
+  connection->sentAt = now;
+  connection->deadline = now + std::max(limit, Duration::zero());
+  busy_.emplace(key, connection);
+  if (fresh) connection->connect(hostOf(host).endpoint);
+  else connection->write();
+}
+
+void HostPool::cancel(AttemptKey key) {
+  const auto it = busy_.find(key);
+  if (it == busy_.end()) return;
+  const auto connection = it->second;
+  connection->end(Outcome::cancelled);
+}
+
+void HostPool::closeIdle(HostId host) {
+  for (auto& connection : std::exchange(hostOf(host).idle, {})) connection->close();
+}
+
+std::shared_ptr<HostPool::Connection> HostPool::takeIdle(HostId host) {
+  auto& idle = hostOf(host).idle;
+  while (!idle.empty()) {
+    const auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (!outlived(*connection) && connection->usable()) return connection;
+    connection->close();
+  }
+  return nullptr;
+}
+
+bool HostPool::outlived(const Connection& connection) const {
+  if (limits_.idleClose <= Duration::zero()) return false;
+  const Duration margin = std::min(kIdleMargin, limits_.idleClose / 5);
+  return Clock::now() - connection.idleSince >= limits_.idleClose - margin;
+}
+
+bool HostPool::closeOldestIdle() {
+  std::vector<std::shared_ptr<Connection>>* from = nullptr;
+  for (Host& host : hosts_)
+    if (!host.idle.empty() && (!from || host.idle.front()->idleSince < from->front()->idleSince))
+      from = &host.idle;
+  if (!from) return false;
+  from->front()->close();
+  from->erase(from->begin());
+  return true;
+}
+
+void HostPool::dropIdle(const std::shared_ptr<Connection>& connection) {
+  std::erase(hostOf(connection->host).idle, connection);
+  connection->close();
+}
+
+void HostPool::sweep() {
+  for (Host& host : hosts_)
+    std::erase_if(host.idle, [&](const auto& connection) {
+      if (!outlived(*connection)) return false;
+      connection->close();
+      return true;
+    });
+  sweeper_.expires_after(kSweep);
+  sweeper_.async_wait([this](error_code ec) {
+    if (!ec) sweep();
+  });
+}
+
+}  // namespace cairnjunction
