Answer 413 to a chunk head without end instead of ending

Seen: a client that sends a chunk's head with no line end for 160 KB ended the process: the test threw 'basic_flat_buffer too long' before the mend. Checked and ruled out: heads and bodies are bounded by the parser (their tests passed before); the hosts' side reads through Beast's read operations, which report a full buffer as an error. To blame: the bare prepare() in ClientServer::Session::read, reached from consume() with a full buffer. Conclusion: what the parser can't take within the buffer's bound is rejected as too large.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -131,6 +131,10 @@
       if (ec == http::error::need_more) break;
       if (ec) return reject(ec);
     }
+    // Danger: the parser bounds head and body, not the head of a chunk; the buffer throws when it is full,
+    // and that would end the process.
+    if (!parser_->is_done() && buffer_.size() + kChunk > buffer_.max_size())
+      return reject(http::error::header_limit);
     if (!parser_->is_done()) return read();
     keepAlive_ = parser_->get().keep_alive();
     ClientRequest request{exchange_ = ++server_->lastExchange_, parser_->release(), since_};
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -341,6 +341,15 @@
   EXPECT_EQ(ask(text("write", "", std::string(kBodyLimit, 'x'))).result_int(), 200u);
 }
 
+TEST_F(GatewayTest, AChunkHeadWithoutEndIsTooLargeAndEndsNothingElse) {
+  twoHosts(always(answerText(200, "", "ok")));
+  EXPECT_EQ(ask("POST /write HTTP/1.1\r\nX-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n5;" +
+                std::string(2 * (kBodyLimit + kHeaderLimit), 'x'))
+                .result_int(),
+            413u);
+  EXPECT_EQ(ask(text("write")).result_int(), 200u);
+}
+
 TEST_F(GatewayTest, AConnectionTooSlowToSendIsClosed) {
   waits.clients.slow = std::chrono::milliseconds(20);
   twoHosts(always(answerText(200, "", "ok")));
