Take SIGHUP: read the file anew and move to another discovery

To blame: main.cpp took SIGTERM and SIGINT only, and only after the configuration was read; Discovery knew one server for good; GW_DISCOVERY went before the file also when the file is the newer word. The new server's list is a count of its own; the old watch is kept till it is there, and its end in between is not told to the module, which would begin anew.

--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -44,6 +44,7 @@
   ClientServer& operator=(const ClientServer&) = delete;
 
   boost::asio::ip::tcp::endpoint listening() const { return acceptor_.local_endpoint(); }
+  void setLimits(const Limits& limits) { limits_ = limits; }
   void answer(ExchangeId exchange, HttpResponse response);
   void lastAnswers();    // from now on every answer closes its connection
   void stopAccepting();  // takes what waits to be accepted, then closes the listener and idle connections
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -114,17 +114,18 @@
   return seed;
 }
 
-// The variable goes before the file's entry.
-std::string told(const json& config, const char* name, const char* variable, const Environment& environment) {
+std::string told(const json& config, const char* name, const char* variable, const Environment& environment,
+                 Reading reading) {
   std::string text;
-  if (const char* value = environment(variable)) text = value;
+  const char* value = environment(variable);
+  if (value && (reading == Reading::atStart || !config.contains(name))) text = value;
   else read(config, name, text);
   return text;
 }
 
 tcp::endpoint toldEndpoint(const json& config, const char* name, const char* variable,
-                           const Environment& environment) {
-  const std::string text = told(config, name, variable, environment);
+                           const Environment& environment, Reading reading) {
+  const std::string text = told(config, name, variable, environment, reading);
   if (text.empty()) throw BadConfig(std::string(variable) + " is not set");
   try {
     return parseEndpoint(text);
@@ -135,12 +136,12 @@
 
 }  // namespace
 
-Config parseConfig(const json& json, const Environment& environment) {
+Config parseConfig(const json& json, const Environment& environment, Reading reading) {
   if (!json.is_object()) throw BadConfig("the configuration is no object");
   Config config;
-  config.name = told(json, "name", "GW_NAME", environment);
-  config.listen = toldEndpoint(json, "listen", "GW_LISTEN", environment);
-  config.discovery = toldEndpoint(json, "discovery", "GW_DISCOVERY", environment);
+  config.name = told(json, "name", "GW_NAME", environment, reading);
+  config.listen = toldEndpoint(json, "listen", "GW_LISTEN", environment, reading);
+  config.discovery = toldEndpoint(json, "discovery", "GW_DISCOVERY", environment, reading);
   config.module = readSettings(part(json, "settings"));
   std::string seed;
   read(json, "seed", seed);
@@ -162,14 +163,14 @@
   return config;
 }
 
-Config readConfig(const Environment& environment) {
+Config readConfig(const Environment& environment, Reading reading) {
   const char* path = environment("GW_CONFIG");
   if (!path) throw BadConfig("GW_CONFIG is not set");
   std::ifstream file(path);
   if (!file) throw BadConfig(std::string("cannot read ") + path);
   const json parsed = json::parse(file, nullptr, false);
   if (parsed.is_discarded()) throw BadConfig(std::string(path) + " holds no JSON");
-  return parseConfig(parsed, environment);
+  return parseConfig(parsed, environment, reading);
 }
 
 }  // namespace cairnjunction
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -1,4 +1,4 @@
-// What the gateway is told at its start: GW_* variables and the JSON file, as typed settings.
+// What the gateway is told, at its start and by SIGHUP: GW_* variables and the JSON file, as typed settings.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -33,8 +33,13 @@
 
 using Environment = std::function<const char*(const char*)>;  // as getenv
 
+// At a start the variables go before the file's entries. A running process keeps the variables that it was
+// started with, so when the file is read again, what stands in it is the newer word.
+enum class Reading { atStart, again };
+
 // Both throw BadConfig with one line that says what is wrong.
-Config readConfig(const Environment& environment);
-Config parseConfig(const nlohmann::json& json, const Environment& environment);
+Config readConfig(const Environment& environment, Reading reading = Reading::atStart);
+Config parseConfig(const nlohmann::json& json, const Environment& environment,
+                   Reading reading = Reading::atStart);
 
 }  // namespace cairnjunction
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -21,6 +21,7 @@
 // One connection with its call; kept for the next call as long as both sides want it.
 struct Discovery::Call : std::enable_shared_from_this<Discovery::Call> {
   Discovery* owner;  // null once given up
+  tcp::endpoint server;
   tcp::socket socket;
   asio::steady_timer timer;
   boost::beast::flat_buffer buffer;
@@ -29,7 +30,7 @@
   Kind kind = Kind::list;
   std::uint64_t turn = 0;  // of the call; a timer of an earlier one that is already due is told by it
 
-  explicit Call(Discovery& d) : owner(&d), socket(d.io_), timer(d.io_) {}
+  Call(Discovery& d, tcp::endpoint s) : owner(&d), server(std::move(s)), socket(d.io_), timer(d.io_) {}
 
   void giveUp() {
     owner = nullptr;
@@ -48,7 +49,7 @@
       if (!ec && self->owner && mine == self->turn) self->finish(std::nullopt);
     });
     if (socket.is_open()) return write();
-    socket.async_connect(owner->server_, [self = shared_from_this()](error_code ec) {
+    socket.async_connect(server, [self = shared_from_this()](error_code ec) {
       if (!self->owner) return;
       if (ec) return self->finish(std::nullopt);
       error_code ignored;
@@ -84,7 +85,7 @@
     timer.cancel();
     error_code ignored;
     if (!list || !parser->get().keep_alive()) socket.close(ignored);
-    owner->ended(kind, list);
+    owner->ended(shared_from_this(), list);
   }
 };
 
@@ -94,29 +95,66 @@
 Discovery::~Discovery() { stop(); }
 
 void Discovery::stop() {
-  if (call_) call_->giveUp();
-  call_.reset();
+  for (CallPtr* call : {&call_, &newCall_})
+    if (const CallPtr over = std::exchange(*call, nullptr)) over->giveUp();
 }
 
 void Discovery::watch() {
+  if (next_) return callNew();
   stop();
   call(version_ ? Kind::first : Kind::list);
 }
 
+void Discovery::moveTo(const tcp::endpoint& server) {
+  if (server == (next_ ? *next_ : server_)) return;
+  next_ = server;
+  callNew();
+}
+
+void Discovery::callNew() {
+  if (const CallPtr over = std::exchange(newCall_, nullptr)) over->giveUp();
+  begin(newCall_, *next_, Kind::list, std::chrono::milliseconds(0));
+}
+
 // The first call of a watch does not wait, so that the module hears at once that it is on; the next ones,
 // each sent as soon as the last is answered, do.
 void Discovery::call(Kind kind) {
-  if (!call_ || !call_->socket.is_open()) call_ = std::make_shared<Call>(*this);
-  const std::chrono::milliseconds wait = kind == Kind::next ? waits_.watch : std::chrono::milliseconds(1);
+  begin(call_, server_, kind, kind == Kind::next ? waits_.watch : std::chrono::milliseconds(1));
+}
+
+void Discovery::begin(CallPtr& call, const tcp::endpoint& server, Kind kind, std::chrono::milliseconds wait) {
+  if (!call || !call->socket.is_open()) call = std::make_shared<Call>(*this, server);
   std::string target = kPath;
   if (kind != Kind::list)
     target += "?since=" + std::to_string(*version_) + "&timeout_ms=" + std::to_string(wait.count());
-  call_->request = {http::verb::get, target, 11};
-  call_->request.set(http::field::host, server_.address().to_string() + ":" + std::to_string(server_.port()));
-  call_->start(kind, wait + waits_.answer);
+  call->request = {http::verb::get, target, 11};
+  call->request.set(http::field::host, server.address().to_string() + ":" + std::to_string(server.port()));
+  call->start(kind, wait + waits_.answer);
 }
 
-void Discovery::ended(Kind kind, const std::optional<HostList>& list) {
+void Discovery::endedNew(const std::optional<HostList>& list) {
+  if (!list || !list->full) {  // the hosts that we hold stay, and the old watch while it lasts
+    if (const CallPtr over = std::exchange(newCall_, nullptr)) over->giveUp();
+    return callbacks_.failed();
+  }
+  const CallPtr old = std::exchange(call_, std::exchange(newCall_, nullptr));
+  if (old) old->giveUp();
+  server_ = *next_;
+  next_.reset();
+  version_ = list->version;  // a count of its own
+  call(Kind::next);
+  callbacks_.told(*list);
+}
+
+void Discovery::ended(const CallPtr& ending, const std::optional<HostList>& list) {
+  if (ending == newCall_) return endedNew(list);
+  const Kind kind = ending->kind;
+  if (next_ && (!list || (!list->full && list->version < version_.value_or(0)))) {
+    // Danger: the module must not hear of it. It would ask again, and so give up the call to the new server.
+    call_.reset();
+    ending->giveUp();
+    return;
+  }
   if (!list) return fail();
   // Danger: discovery that was set up anew counts from the start; changes to a list that we don't hold would
   // leave hosts in ours for good.
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -37,14 +37,21 @@
 
   void knows(std::int64_t version) { version_ = version; }  // of the list held already
   void watch();                                             // begins a watch; one that is on is given up
+  // Another server from now on: the watch on the old one is kept until the new one has given its whole list.
+  void moveTo(const boost::asio::ip::tcp::endpoint& server);
   void stop();
 
  private:
   struct Call;
   enum class Kind { list, first, next };
+  using CallPtr = std::shared_ptr<Call>;
 
   void call(Kind kind);
-  void ended(Kind kind, const std::optional<HostList>& list);
+  void callNew();
+  void ended(const CallPtr& call, const std::optional<HostList>& list);
+  void endedNew(const std::optional<HostList>& list);
+  void begin(CallPtr& call, const boost::asio::ip::tcp::endpoint& server, Kind kind,
+             std::chrono::milliseconds wait);
   void fail();
 
   boost::asio::io_context& io_;
@@ -52,7 +59,9 @@
   Callbacks callbacks_;
   Waits waits_;
   std::optional<std::int64_t> version_;
-  std::shared_ptr<Call> call_;
+  CallPtr call_;
+  std::optional<boost::asio::ip::tcp::endpoint> next_;  // the server to move to,
+  CallPtr newCall_;                                     // and the call for its list
 };
 
 }  // namespace cairnjunction
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -90,6 +90,15 @@
   return (sockets - kOwnDescriptors) * part / of;
 }
 
+HostPool::Limits hostLimits(const Config& config) {
+  return {shareOf(config.sockets, 2, 5), config.connectTimeout, config.module.idleClose};
+}
+
+ClientServer::Limits clientLimits(const Config& config, ClientServer::Limits waits) {
+  waits.connections = std::min(waits.connections, shareOf(config.sockets, 3, 5));
+  return waits;
+}
+
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits,
@@ -98,9 +107,10 @@
       start_(Clock::now()),
       unixStart_(std::chrono::system_clock::now()),
       settings_(config.module),
+      waits_(waits),
       log_(std::move(log)),
       balancer_(config.module, now()),
-      hosts_(io, {shareOf(config.sockets, 2, 5), config.connectTimeout, config.module.idleClose},
+      hosts_(io, hostLimits(config),
              [this](AttemptEnd end) {
                ends_.push_back(std::move(end));
                drainActions();
@@ -115,9 +125,7 @@
           waits.discovery),
       waker_(io),
       drainTimer_(io),
-      clients_(io, config.listen,
-               {std::min(waits.clients.connections, shareOf(config.sockets, 3, 5)), waits.clients.slow,
-                waits.clients.idle},
+      clients_(io, config.listen, clientLimits(config, waits.clients),
                {[this](ClientRequest request) { received(std::move(request)); },
                 [this](ExchangeId exchange) { clientGone(exchange); }}) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i)
@@ -337,7 +345,14 @@
   });
 }
 
-// --- Drain ----------------------------------------------------------------------------------------------
+// --- Reload and drain -----------------------------------------------------------------------------------
+
+// The listener and the module's settings stay as they are until a restart: answers are owed by them.
+void Gateway::reload(const Config& config) {
+  discovery_.moveTo(config.discovery);
+  hosts_.setLimits(hostLimits(config));
+  clients_.setLimits(clientLimits(config, waits_.clients));
+}
 
 void Gateway::drain(std::function<void()> done) {
   if (draining_) return;
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -39,6 +39,8 @@
   Gateway& operator=(const Gateway&) = delete;
 
   boost::asio::ip::tcp::endpoint listening() const { return clients_.listening(); }
+  // A new configuration: its discovery and limits hold from now on. What is under way goes on.
+  void reload(const Config& config);
   // Finishes what was taken, then closes all and calls `done`.
   void drain(std::function<void()> done);
 
@@ -70,8 +72,8 @@
   std::chrono::steady_clock::time_point start_;
   std::chrono::system_clock::time_point unixStart_;
   ochrehill::Settings settings_;
+  Waits waits_;
   std::unordered_map<std::string, std::uint32_t> classOf_, tenantOf_;
-  std::unordered_map<std::string, boost::asio::ip::tcp::endpoint> endpoints_;
   std::function<void(std::string)> log_;
   ochrehill::Balancer balancer_;
   HostPool hosts_;
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -52,6 +52,7 @@
   HostPool(const HostPool&) = delete;
   HostPool& operator=(const HostPool&) = delete;
 
+  void setLimits(const Limits& limits) { limits_ = limits; }
   void setEndpoint(ochrehill::HostId host, const boost::asio::ip::tcp::endpoint& endpoint);
   // Sends the request, on the latest used idle connection if there is one. Ends exactly once.
   void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -102,5 +102,17 @@
   EXPECT_THROW(parseEndpoint("host:80"), std::invalid_argument);
 }
 
+TEST(Config, AFileReadAgainGoesBeforeTheVariables) {
+  json j = configJson();
+  j["discovery"] = "127.0.0.1:7";
+  const auto environment = [](const char* name) {
+    return std::string(name) == "GW_DISCOVERY" ? "127.0.0.1:6" : nullptr;
+  };
+  EXPECT_EQ(parseConfig(j, environment).discovery.port(), 6);
+  EXPECT_EQ(parseConfig(j, environment, Reading::again).discovery.port(), 7);
+  j.erase("discovery");
+  EXPECT_EQ(parseConfig(j, environment, Reading::again).discovery.port(), 6);
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -486,5 +486,42 @@
   EXPECT_FALSE(taken->answers[0].keep_alive());
 }
 
+// --- A new configuration ----------------------------------------------------------------------------------
+
+TEST_F(GatewayTest, ReloadMovesToAnotherDiscoveryAndKeepsTheHostsTillItsListIsThere) {
+  addHost("a", always(answerText(200, "", "old")));
+  start();
+  ASSERT_TRUE(until([&] { return !discovery.held.empty(); }));
+  FakeDiscovery other(io);  // counts its versions from the start
+  Peer newcomer(io, [](PeerConnection& c) { c.reply(answerText(200, "", "new")); });
+  other.list.push_back(target("s-new", newcomer.endpoint));
+  other.version = 0;
+  other.failing = true;
+  config["discovery"] = textOf(other.peer.endpoint);
+  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  ASSERT_TRUE(until([&] { return !other.targets.empty(); }));
+  EXPECT_EQ(ask(text("write")).body(), "old");
+  other.failing = false;
+  ASSERT_TRUE(until([&] { return !other.held.empty(); })) << "the whole list, then a watch";
+  EXPECT_TRUE(until([&] { return discovery.held.front()->closedByPeer; })) << "the old one is left";
+  EXPECT_EQ(ask(text("write")).body(), "new");
+}
+
+TEST_F(GatewayTest, ReloadOutlivesTheOldDiscovery) {
+  addHost("a", always(answerText(200, "", "old")));
+  start();
+  ASSERT_TRUE(until([&] { return !discovery.held.empty(); }));
+  Peer silent(io, nullptr);
+  config["discovery"] = textOf(silent.endpoint);
+  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  ASSERT_TRUE(until([&] { return silent.requests.size() == 1; }));
+  discovery.held.front()->close();
+  EXPECT_EQ(ask(text("write")).body(), "old");
+  EXPECT_EQ(silent.requests.size(), 1u) << "the call under way is not given up for it";
+  silent.connections.front()->reply(
+      answerText(200, "", json{{"rev", 7}, {"all", true}, {"targets", discovery.list}}.dump()));
+  EXPECT_TRUE(until([&] { return silent.requests.size() == 2; })) << "and its watch begins";
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <thread>
 
+#include "net/host_list.hpp"
 #include "net_peers.hpp"
 
 namespace cairnjunction::testing {
@@ -31,37 +32,63 @@
 
 TEST(Program, BadConfigurationEndsIt) { EXPECT_EQ(exitCode(run("GW_CONFIG=/nonexistent")), 2); }
 
-TEST(Program, SigtermEndsItWithZero) {
+class RunningProgram : public ::testing::Test {
+ protected:
   asio::io_context io;
-  tcp::endpoint free;
-  {
-    tcp::acceptor probe(io, loopback());
-    free = probe.local_endpoint();
-  }
   json config = configJson();
-  config["listen"] = textOf(free);
-  config["known"] = {{"rev", 1}, {"all", true}, {"targets", {target("s-0", loopback(1))}}};
   const std::string path = ::testing::TempDir() + "program_config.json";
-  std::ofstream(path) << config;
-  const pid_t pid = run("GW_CONFIG=" + path);
-  tcp::socket socket(io);
-  error_code ec = asio::error::not_connected;
-  const auto end = std::chrono::steady_clock::now() + kPatience;
-  while (ec && std::chrono::steady_clock::now() < end) {
-    socket.close();
-    socket.connect(free, ec);
-    std::this_thread::yield();
+  pid_t pid = 0;
+
+  void SetUp() override {
+    {
+      tcp::acceptor probe(io, loopback());
+      config["listen"] = textOf(probe.local_endpoint());
+    }
+    config["known"] = {{"rev", 1}, {"all", true}, {"targets", {target("s-0", loopback(1))}}};
+    write(config.dump());
+    pid = run("GW_CONFIG=" + path);
+    EXPECT_EQ(up(), 200u);
+  }
+  void TearDown() override {
+    kill(pid, SIGTERM);
+    EXPECT_EQ(exitCode(pid), 0);
+    std::remove(path.c_str());
   }
-  ASSERT_FALSE(ec);
-  asio::write(socket, asio::buffer(std::string("GET /up HTTP/1.1\r\n\r\n")));
-  boost::beast::flat_buffer buffer;
-  Response up;
-  http::read(socket, buffer, up, ec);
-  EXPECT_FALSE(ec);
-  EXPECT_EQ(up.result_int(), 200u);
-  kill(pid, SIGTERM);
-  EXPECT_EQ(exitCode(pid), 0);
-  std::remove(path.c_str());
+  void write(const std::string& text) { std::ofstream(path) << text; }
+  unsigned up() {
+    tcp::socket socket(io);
+    const tcp::endpoint at = parseEndpoint(config["listen"].get<std::string>());
+    error_code ec = asio::error::not_connected;
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (ec && std::chrono::steady_clock::now() < end) {
+      socket.close();
+      socket.connect(at, ec);
+      std::this_thread::yield();
+    }
+    if (ec) return 0;
+    asio::write(socket, asio::buffer(std::string("GET /up HTTP/1.1\r\n\r\n")));
+    boost::beast::flat_buffer buffer;
+    Response answer;
+    http::read(socket, buffer, answer, ec);
+    return ec ? 0 : answer.result_int();
+  }
+};
+
+TEST_F(RunningProgram, SigtermEndsItWithZero) {}
+
+TEST_F(RunningProgram, SighupTakesAnotherDiscoveryAndABadFileChangesNothing) {
+  tcp::acceptor discovery(io, loopback());
+  config["discovery"] = textOf(discovery.local_endpoint());
+  write(config.dump());
+  kill(pid, SIGHUP);
+  bool called = false;
+  discovery.async_accept([&](error_code ec, tcp::socket) { called = !ec; });
+  io.run_for(kPatience);  // ends at the first call
+  EXPECT_TRUE(called) << "the one that the new file names";
+  write("{");
+  kill(pid, SIGHUP);
+  kill(pid, SIGHUP);
+  EXPECT_EQ(up(), 200u);
 }
 
 }  // namespace
