Read hosts' answers by hand: no crash on a cancel, 1xx skipped, framing strict

To blame: host_pool.cpp, end() dropped the parser while a composed read that had just completed still held it. The head of an answer is now checked before the parser sees it (net/framing): two lengths, length and coding, signs, bare line feeds. A host that leaves the list keeps no connection that comes free later.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -170,11 +170,10 @@
     entries.push_back(std::move(e));
   }
   balancer_.onHosts(now(), kind, entries);
-  for (const ListedHost& host : list.hosts) {
-    const HostId id = balancer_.findHost(host.uid);
-    if (host.endpoint.port() != 0) hosts_.setEndpoint(id, host.endpoint);
-    if (host.state != HostState::serving) hosts_.closeIdle(id);
-  }
+  if (kind != ListKind::update) hosts_.unlistAll();
+  for (const ListedHost& host : list.hosts)
+    if (const HostId id = balancer_.findHost(host.uid); id != ochrehill::kNone)
+      hosts_.list(id, host.endpoint, host.state == HostState::serving);
   ready_ = ready_ || !list.hosts.empty() || kind != ListKind::restored;
   drainActions();
 }
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -5,12 +5,14 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
 #include <optional>
+#include <string_view>
 #include <utility>
 
+#include "net/framing.hpp"
+
 namespace cairnjunction {
 namespace {
 
@@ -23,18 +25,13 @@
 using tcp = asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
 
+constexpr std::size_t kChunk = 4096;  // read at a time; most answers are smaller
+constexpr int kInterimMost = 8;       // answers ahead of the final one (1xx): more than anyone has use for
 constexpr Duration kSweep = std::chrono::milliseconds(250);
 // Danger: a request written to a connection that the host is just closing ends as a reset, which may have
 // run. Given up earlier than the host would by this, or by a fifth of a short limit.
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
 
-// A break while the answer is read: the host's end of the connection went, or it sent what is no answer.
-Outcome brokenRead(error_code ec) {
-  const bool garbage = ec.category() == http::make_error_code(http::error::bad_version).category() &&
-                       ec != http::error::end_of_stream && ec != http::error::partial_message;
-  return garbage ? Outcome::error : Outcome::reset;
-}
-
 }  // namespace
 
 struct HostPool::Connection : std::enable_shared_from_this<Connection> {
@@ -51,7 +48,9 @@
   Phase phase = Phase::connecting;
   Clock::time_point sentAt, idleSince, deadline;
   std::uint64_t turn = 0;  // of the timer: one that is already due when it is moved is told by it
-  bool watching = false;
+  HeadScanner scanner{HeadScanner::Kind::answer};
+  bool watching = false, headSeen = false;
+  int interim = 0;
 
   Connection(HostPool& p, HostId h) : pool(&p), host(h), socket(p.io_), timer(p.io_) { ++p.open_; }
 
@@ -101,36 +100,76 @@
 
   void read() {
     phase = Phase::reading;
+    interim = 0;
+    renew();
+    receive();
+  }
+
+  void renew() {  // for one answer, or for one ahead of it
+    scanner = HeadScanner(HeadScanner::Kind::answer);
+    headSeen = false;
     parser.emplace();
     parser->body_limit(kBodyLimit);
     parser->header_limit(kHeaderLimit);
-    // Danger: read in one go, Beast 1.74 passes over the limit on a Content-Length. Head first, it keeps it.
-    http::async_read_header(socket, buffer, *parser, [self = shared_from_this()](error_code ec, std::size_t) {
-      if (self->phase != Phase::reading) return;
-      if (ec) return self->end(brokenRead(ec));
-      self->readBody();
-    });
   }
 
-  void readBody() {
-    http::async_read(socket, buffer, *parser, [self = shared_from_this()](error_code ec, std::size_t) {
+  // Danger: an attempt may end, by its time or by a cancel, with a completed read still in the event loop's
+  // queue. So no operation of a library may hold the parser: only the socket is read here, and the phase
+  // tells whether what has come is still wanted.
+  void receive() {
+    socket.async_read_some(buffer.prepare(kChunk), [self = shared_from_this()](error_code ec, std::size_t n) {
       if (self->phase != Phase::reading) return;
-      self->end(ec ? brokenRead(ec) : self->judge(), !ec && self->reusable());
+      if (ec) return self->end(Outcome::reset);
+      self->buffer.commit(n);
+      self->received();
     });
   }
 
+  void received() {
+    for (;;) {
+      if (!headSeen) {
+        const auto data = buffer.data();
+        const auto state = scanner.scan({static_cast<const char*>(data.data()), data.size()});
+        if (state == HeadScanner::State::bad) return end(Outcome::error);
+        if (state == HeadScanner::State::more && buffer.size() > kHeaderLimit) return end(Outcome::error);
+        if (state == HeadScanner::State::more) return receive();
+        headSeen = true;
+      }
+      error_code ec;
+      while (buffer.size() > 0 && !parser->is_done() && !ec) {
+        buffer.consume(parser->put(buffer.data(), ec));
+        // Danger: Beast 1.74 passes over the limit where head and body come in one piece.
+        if (parser->is_header_done() && parser->content_length() && *parser->content_length() > kBodyLimit)
+          return end(Outcome::error);
+      }
+      if (ec && ec != http::error::need_more) return end(Outcome::error);
+      if (!parser->is_header_done() || !parser->is_done()) {
+        if (parser->is_header_done() && !framed()) return end(judge());
+        // The parser bounds head and body, not the head of a chunk; the buffer would throw when it is full.
+        if (buffer.size() + kChunk > buffer.max_size()) return end(Outcome::error);
+        return receive();
+      }
+      const unsigned status = parser->get().result_int();
+      if (status / 100 != 1) return end(judge(), reusable());
+      // What comes ahead of an answer is none. Nobody asked to change the protocol, so a 101 is nonsense.
+      if (status == 101 || ++interim > kInterimMost) return end(Outcome::error);
+      renew();
+    }
+  }
+
+  // Danger: an answer framed by the end of the connection can't be told from one that was cut.
+  bool framed() const { return parser->get().chunked() || parser->get().has_content_length(); }
+
   Outcome judge() const {
     const auto& answer = parser->get();
     const http::status status = answer.result();
-    // Danger: an answer framed by the end of the connection can't be told from one that was cut.
-    if (status == http::status::ok && !answer.chunked() && !answer.has_content_length())
-      return Outcome::reset;
-    if (status == http::status::ok) return Outcome::served;
+    if (status == http::status::ok) return framed() ? Outcome::served : Outcome::reset;
     const bool busy = status == http::status::service_unavailable || status == http::status::gateway_timeout;
     if (busy && answer["X-Not-Run"] == "1") return Outcome::full;
     return Outcome::error;  // it may have run, whatever the answer says
   }
 
+  // Danger: what comes behind a whole answer would be taken for the next one.
   bool reusable() const { return parser->get().keep_alive() && buffer.size() == 0; }
 
   // Ends the attempt. The connection is kept only after a whole answer: what comes late on one that was
@@ -141,18 +180,20 @@
     if (outcome == Outcome::served) done.answer = parser->release();
     parser.reset();
     pool->busy_.erase(key);
-    if (keep) rest();
+    const auto known = pool->hosts_.find(host);
+    if (keep && known != pool->hosts_.end() && known->second.serving) rest(known->second);
     else close();
     pool->ended_(std::move(done));
   }
 
-  void rest() {
+  void rest(Host& of) {
     phase = Phase::idle;
     ++turn;
     timer.cancel();
     request = {};
     idleSince = Clock::now();
-    pool->hostOf(host).idle.push_back(shared_from_this());
+    buffer.shrink_to_fit();
+    of.idle.push_back(shared_from_this());
     watch();
   }
 
@@ -186,25 +227,33 @@
 void HostPool::stop() {
   sweeper_.cancel();
   for (auto& [key, connection] : std::exchange(busy_, {})) connection->close();
-  for (Host& host : hosts_)
+  for (auto& [id, host] : hosts_)
     for (auto& connection : std::exchange(host.idle, {})) connection->close();
 }
 
-HostPool::Host& HostPool::hostOf(HostId host) {
-  if (hosts_.size() <= host) hosts_.resize(host + std::size_t{1});
-  return hosts_[host];
+void HostPool::list(HostId host, const tcp::endpoint& endpoint, bool serving) {
+  Host& h = hosts_[host];
+  // One that is gone may be named without its address.
+  const bool moved = endpoint.port() != 0 && endpoint != h.endpoint;
+  if (moved || !serving) closeIdle(host);
+  if (moved) h.endpoint = endpoint;
+  h.serving = serving;
+}
+
+void HostPool::unlistAll() {
+  for (auto& [id, host] : hosts_) host.serving = false;
 }
 
-void HostPool::setEndpoint(HostId host, const tcp::endpoint& endpoint) {
-  Host& h = hostOf(host);
-  if (h.endpoint == endpoint) return;
+void HostPool::forget(HostId host) {
   closeIdle(host);
-  h.endpoint = endpoint;
+  hosts_.erase(host);
 }
 
 void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit) {
   const auto now = Clock::now();
-  std::shared_ptr<Connection> connection = takeIdle(host);
+  const auto known = hosts_.find(host);
+  if (known == hosts_.end()) return ended_({key, host, Outcome::connectFailed, {}, {}});
+  std::shared_ptr<Connection> connection = takeIdle(known->second);
   const bool fresh = !connection;
   if (fresh) {
     if (open_ >= limits_.connections && !closeOldestIdle())
@@ -216,7 +265,7 @@
   connection->sentAt = now;
   connection->deadline = now + std::max(limit, Duration::zero());
   busy_.emplace(key, connection);
-  if (fresh) connection->connect(hostOf(host).endpoint);
+  if (fresh) connection->connect(known->second.endpoint);
   else connection->write();
 }
 
@@ -228,11 +277,12 @@
 }
 
 void HostPool::closeIdle(HostId host) {
-  for (auto& connection : std::exchange(hostOf(host).idle, {})) connection->close();
+  if (const auto known = hosts_.find(host); known != hosts_.end())
+    for (auto& connection : std::exchange(known->second.idle, {})) connection->close();
 }
 
-std::shared_ptr<HostPool::Connection> HostPool::takeIdle(HostId host) {
-  auto& idle = hostOf(host).idle;
+std::shared_ptr<HostPool::Connection> HostPool::takeIdle(Host& host) {
+  auto& idle = host.idle;
   while (!idle.empty()) {
     const auto connection = std::move(idle.back());
     idle.pop_back();
@@ -250,7 +300,7 @@
 
 bool HostPool::closeOldestIdle() {
   std::vector<std::shared_ptr<Connection>>* from = nullptr;
-  for (Host& host : hosts_)
+  for (auto& [id, host] : hosts_)
     if (!host.idle.empty() && (!from || host.idle.front()->idleSince < from->front()->idleSince))
       from = &host.idle;
   if (!from) return false;
@@ -260,14 +310,15 @@
 }
 
 void HostPool::dropIdle(const std::shared_ptr<Connection>& connection) {
-  std::erase(hostOf(connection->host).idle, connection);
+  if (const auto known = hosts_.find(connection->host); known != hosts_.end())
+    std::erase(known->second.idle, connection);
   connection->close();
 }
 
 void HostPool::sweep() {
-  for (Host& host : hosts_)
-    std::erase_if(host.idle, [&](const auto& connection) {
-      if (!outlived(*connection)) return false;
+  for (auto& [id, host] : hosts_)
+    std::erase_if(host.idle, [&, serving = host.serving](const auto& connection) {
+      if (serving && !outlived(*connection)) return false;
       connection->close();
       return true;
     });
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -53,18 +53,23 @@
   HostPool& operator=(const HostPool&) = delete;
 
   void setLimits(const Limits& limits) { limits_ = limits; }
-  void setEndpoint(ochrehill::HostId host, const boost::asio::ip::tcp::endpoint& endpoint);
+  // A host that the list names. Connections to one that does not serve are closed as they come free.
+  void list(ochrehill::HostId host, const boost::asio::ip::tcp::endpoint& endpoint, bool serving);
+  void unlistAll();                     // before a whole list: what it leaves out serves no more
+  void forget(ochrehill::HostId host);  // gone, with no attempt out: its id may be given to another host
   // Sends the request, on the latest used idle connection if there is one. Ends exactly once.
   void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit);
   void cancel(AttemptKey key);
   void closeIdle(ochrehill::HostId host);
   void stop();  // closes all without a word
   std::size_t connections() const { return open_; }
+  std::size_t hosts() const { return hosts_.size(); }
 
  private:
   struct Connection;
   struct Host {
     boost::asio::ip::tcp::endpoint endpoint;
+    bool serving = false;
     std::vector<std::shared_ptr<Connection>> idle;  // the latest used last
   };
   struct KeyHash {
@@ -73,8 +78,7 @@
     }
   };
 
-  Host& hostOf(ochrehill::HostId host);
-  std::shared_ptr<Connection> takeIdle(ochrehill::HostId host);
+  std::shared_ptr<Connection> takeIdle(Host& host);
   bool closeOldestIdle();
   bool outlived(const Connection& connection) const;
   void dropIdle(const std::shared_ptr<Connection>& connection);
@@ -83,7 +87,7 @@
   boost::asio::io_context& io_;
   Limits limits_;
   Ended ended_;
-  std::vector<Host> hosts_;
+  std::unordered_map<ochrehill::HostId, Host> hosts_;
   std::unordered_map<AttemptKey, std::shared_ptr<Connection>, KeyHash> busy_;
   std::size_t open_ = 0;
   boost::asio::steady_timer sweeper_;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -168,6 +168,12 @@
 };
 std::ostream& operator<<(std::ostream& out, const Row& row) { return out << row.name; }
 
+std::string many(const std::string& text) {  // of it, as much as no head may hold
+  std::string all;
+  while (all.size() < 3 * kHeaderLimit) all += text;
+  return all;
+}
+
 class Outcomes : public GatewayTest, public ::testing::WithParamInterface<Row> {};
 
 TEST_P(Outcomes, UnsafeIsSentAgainOnlyIfItNeverRan) {
@@ -209,9 +215,74 @@
             true},
         Row{"noLength", [](PeerConnection& c) { c.reply("HTTP/1.1 200 OK\r\n\r\nhalf", true); }, true},
         Row{"tooLarge",
-            [](PeerConnection& c) { c.reply(answerText(200, "", std::string(kBodyLimit + 1, 'x'))); }, true}),
+            [](PeerConnection& c) { c.reply(answerText(200, "", std::string(kBodyLimit + 1, 'x'))); }, true},
+        // The connection stays open behind these: it is of no further use, and nobody waits for more.
+        Row{"threeGigabytes",
+            [](PeerConnection& c) { c.reply("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc"); },
+            true},
+        Row{"endlessHead", [](PeerConnection& c) { c.reply("HTTP/1.1 200 OK\r\n" + many("X: y\r\n")); },
+            true},
+        Row{"endlessLine", [](PeerConnection& c) { c.reply("HTTP/1.1 200 OK\r\nX: " + many("yyyy")); }, true},
+        Row{"endlessChunkHead",
+            [](PeerConnection& c) {
+              c.reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + many("yyyyy") +
+                      many("yyyyy"));
+            },
+            true},
+        Row{"badChunk",
+            [](PeerConnection& c) {
+              c.reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n");
+            },
+            true},
+        Row{"twoLengths", [](PeerConnection& c) { c.reply(answerText(200, "Content-Length: 3\r\n", "abc")); },
+            true},
+        Row{"lengthAndCoding",
+            [](PeerConnection& c) {
+              c.reply(answerText(200, "Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n"));
+            },
+            true},
+        Row{"negativeLength",
+            [](PeerConnection& c) { c.reply("HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc"); }, true},
+        Row{"switched", [](PeerConnection& c) { c.reply("HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n"); }, true},
+        Row{"endlessInterim", [](PeerConnection& c) { c.reply(many("HTTP/1.1 103 X\r\n\r\n")); }, true}),
     [](const auto& row) { return row.param.name; });
 
+TEST_F(GatewayTest, AnswersAheadAreSkipped) {
+  addHost("a", always("HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 102 X\r\n\r\n" +
+                      answerText(200, "", "final")));
+  start();
+  EXPECT_EQ(ask(text("write")).body(), "final");
+  EXPECT_EQ(ask(text("write")).body(), "final");
+  EXPECT_EQ(hosts[0]->connections.size(), 1u) << "and nothing is wrong with the connection";
+}
+
+TEST_F(GatewayTest, WhatComesBehindAWholeAnswerIsNobodysAnswer) {
+  addHost("a", [](PeerConnection& c, std::size_t n) {
+    const std::string answer = answerText(200, "", std::to_string(n));
+    c.reply(n % 2 == 0 ? answer + answer : answer + "\x01noise");
+  });
+  start();
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(ask(text("write")).body(), std::to_string(i));
+  EXPECT_EQ(hosts[0]->connections.size(), 4u);
+}
+
+TEST_F(GatewayTest, AnAnswerThatArrivesAsItsClientLeavesDisturbsNobody) {
+  // Both are ready in one turn of the loop: the attempt is cancelled with its answer read already.
+  std::vector<std::shared_ptr<PeerConnection>> held;
+  addHost("a", [&](PeerConnection& c, std::size_t) { held.push_back(c.shared_from_this()); });
+  start();
+  for (std::size_t i = 0; i < 20; ++i) {
+    auto c = client();
+    c->send(text("write", "", "x"));
+    ASSERT_TRUE(until([&] { return held.size() == i + 1; }));
+    if (i % 2) c->close();
+    held.back()->reply(answerText(200, "", "late"));
+    if (i % 2 == 0) c->close();
+  }
+  hosts[0]->script = [](PeerConnection& p) { p.reply(answerText(200, "", "on")); };
+  EXPECT_EQ(ask(text("read")).body(), "on");
+}
+
 TEST_F(GatewayTest, AHostThatRefusesConnectionsCostsNoRequest) {
   twoHosts(always(answerText(200, "", "x")));
   hosts[0]->stopListening();
