--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -22,7 +22,7 @@
 using Duration = std::chrono::nanoseconds;
 using Time = std::chrono::nanoseconds;  // since any fixed start; must never go back
 using RequestId = std::uint64_t;        // chosen by the caller, never used again
-using HostId = std::uint32_t;           // given out by the Balancer at first sight of an address
+using HostId = std::uint32_t;           // given out by the Balancer at first sight of an address; see forget
 inline constexpr std::uint32_t kNone = UINT32_MAX;
 
 enum class Effect { retryable, dedup, fragile };  // may it run again?
@@ -107,7 +107,8 @@
   connectFailed,  // never ran
   reset,          // may have run
   cancelled,      // may have run
-  moot            // not sent
+  moot,           // not sent
+  rejected        // the host found fault with the request itself; may have run
 };
 
 struct AttemptResult {
@@ -119,15 +120,16 @@
   bool terminal = false;  // nothing more is owed for the request
 };
 
-enum class ActionKind { send, refuse, fail, cancel, close, wake, subscribe, log };
+enum class ActionKind { send, refuse, fail, cancel, close, forget, wake, subscribe, log };
 
 struct Action {
   ActionKind kind = ActionKind::log;
   RequestId request = 0;      // send, refuse, fail, cancel
   std::uint32_t attempt = 0;  // send, cancel: number of the attempt, from 0
-  HostId host = kNone;        // send; close: its idle connections
-  Duration span{};            // send: time limit; refuse: retry-after (0 = none); wake: the clock time
-  std::string text;           // log
+  // send; close: its idle connections; forget: gone, no open request names it, its id may be given out again
+  HostId host = kNone;
+  Duration span{};   // send: time limit; refuse: retry-after (0 = none); wake: the clock time
+  std::string text;  // log
 };
 
 class Balancer {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -113,6 +113,7 @@
   std::vector<Action> out;
   std::vector<Host> hosts;
   std::unordered_map<std::string, HostId> hostIds;
+  std::vector<HostId> freeHosts;
   std::vector<HostId> listed;  // phase `in`, in order of address: the same order at every start
   std::vector<HostId> order;   // the same hosts, this gateway's own first
   std::size_t width = 0;       // so many of them are in use while one of them is idle
@@ -224,6 +225,7 @@
         failed = true;
         h.lines = std::max(h.lines - 1, 0);
         break;
+      case Outcome::rejected: h.heard = now; return;  // the request's fault, anywhere
       case Outcome::cancelled:
       case Outcome::moot: return;
     }
@@ -583,6 +585,21 @@
     slotOf.erase(r.id);
     r.live = false;
     freeSlots.push_back(slot);
+    for (std::uint32_t i = 0; i < r.count; ++i) {
+      --hosts[r.tries[i].host].named;
+      forgetGone(r.tries[i].host);
+    }
+  }
+
+  // Danger: hosts are replaced all day, and each would be kept for good. But its zone binds the repeats of
+  // the requests that it had, so its id stays with it till they are over.
+  void forgetGone(HostId id) {
+    if (hosts[id].entry.phase != Phase::out || hosts[id].named > 0 || hosts[id].entry.address.empty()) return;
+    hostIds.erase(hosts[id].entry.address);
+    hosts[id] = Host{};
+    hosts[id].entry.phase = Phase::out;
+    freeHosts.push_back(id);
+    emit(ActionKind::forget, 0, 0, id);
   }
 
   void finish(Open& r) {  // a refusal claims that a retry is harmless, so it needs proof; else an error
@@ -678,6 +695,7 @@
     h.used = now;
     if (!free(h)) ++h.lines;
     ++h.inflight;
+    ++h.named;
     ++r.out;
     emit(ActionKind::send, r.id, r.count++, id, last - now);
     return true;
@@ -771,6 +789,10 @@
     }
     if (r.ended) return release(r);
     if (r.bound || r.out > 0) return;
+    if (a.outcome == Outcome::rejected) {
+      emit(ActionKind::fail, r.id);
+      return end(r);
+    }
     const bool again = lastUse(r) > now && retryTokens >= 1 && a.outcome != Outcome::moot;
     if (again && send(r)) retryTokens -= 1;
     else finish(r);
@@ -809,10 +831,12 @@
     if (kind != ListKind::update)
       for (Host& h : hosts) h.entry.phase = Phase::out;  // what a whole list leaves out is gone
     for (const HostEntry& e : entries) {
-      auto [it, fresh] = hostIds.emplace(e.address, static_cast<HostId>(hosts.size()));
+      const auto next = freeHosts.empty() ? static_cast<HostId>(hosts.size()) : freeHosts.back();
+      auto [it, fresh] = hostIds.emplace(e.address, next);
       if (fresh) {
-        hosts.emplace_back();
-        hosts.back().hash = hashText(e.address);
+        if (freeHosts.empty()) hosts.emplace_back();
+        else freeHosts.pop_back();
+        hosts[next].hash = hashText(e.address);
       }
       Host& h = hosts[it->second];
       const bool restarted = fresh || e.upSince != h.entry.upSince;
@@ -849,6 +873,7 @@
     std::sort(listed.begin(), listed.end(),
               [&](HostId a, HostId b) { return hosts[a].entry.address < hosts[b].entry.address; });
     reorder();
+    for (HostId id = 0; id < hosts.size(); ++id) forgetGone(id);
   }
 
   // Own hosts first. Hosts lie on a ring, in an order of its own for every round of gateways, and the
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -186,12 +186,16 @@
   ochrehill::Request asked;
   const http::status status = describe(message, asked);
   if (status != http::status::ok) return clients_.answer(request.exchange, plain(status));
+  // Danger: passed on, one with the id of an open request is a second copy of that one to the hosts.
+  std::string name = message["X-Request-Id"].to_string();
+  if (!names_.insert(name).second) return clients_.answer(request.exchange, plain(http::status::conflict));
   asked.id = ++lastRequest_;
   asked.left -= (Clock::now() - request.began) + kAnswerMargin;
   stripHop(request.message);
   Exchange& exchange = exchanges_[asked.id];
   exchange.client = request.exchange;
   exchange.message = std::move(request.message);
+  exchange.name = std::move(name);
   byClient_.emplace(request.exchange, asked.id);
   balancer_.onRequest(now(), asked);
   drainActions();
@@ -205,6 +209,9 @@
   const ochrehill::ClassSettings& c = settings_.classes[found->second];
   if (message.count("X-Class") && message["X-Class"] != string_view(c.name)) return http::status::bad_request;
   if (message["X-Request-Id"].empty()) return http::status::bad_request;
+  // Danger: said twice, a host may heed the other one than we do.
+  for (const char* field : {"X-Request-Id", "X-Class", "X-Deadline-Ms", "Idempotency-Key"})
+    if (message.count(field) > 1) return http::status::bad_request;
   // Danger: hosts take the method for the class's promise. A keyed request with no key is dropped by nobody
   // when it is repeated, so it may not pass for one.
   const bool get = message.method() == http::verb::get;
@@ -273,8 +280,10 @@
     if (balancer_.actions().empty())
       for (const RequestId id : std::exchange(over_, {}))
         if (const auto it = exchanges_.find(id);
-            it != exchanges_.end() && it->second.ended && it->second.out == 0)
+            it != exchanges_.end() && it->second.ended && it->second.out == 0) {
+          names_.erase(it->second.name);
           exchanges_.erase(it);
+        }
     if (!balancer_.actions().empty()) continue;
     if (ends_.empty()) break;
     AttemptEnd end = std::move(ends_.front());
@@ -291,6 +300,7 @@
     case ActionKind::fail: return giveUp(action);
     case ActionKind::cancel: return hosts_.cancel({action.request, action.attempt});
     case ActionKind::close: return hosts_.closeIdle(action.host);
+    case ActionKind::forget: return hosts_.forget(action.host);
     case ActionKind::wake: return wakeAt(action.span);
     case ActionKind::subscribe: return discovery_.watch();
     case ActionKind::log: return log_(action.text);
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "net/client_server.hpp"
@@ -41,6 +42,9 @@
   boost::asio::ip::tcp::endpoint listening() const { return clients_.listening(); }
   // A new configuration: its discovery and limits hold from now on. What is under way goes on.
   void reload(const Config& config);
+  std::size_t openRequests() const { return exchanges_.size(); }
+  std::size_t hosts() const { return hosts_.hosts(); }
+  std::size_t connections() const { return clients_.connections() + hosts_.connections(); }
   // Finishes what was taken, then closes all and calls `done`.
   void drain(std::function<void()> done);
 
@@ -48,6 +52,7 @@
   struct Exchange {  // a request under way
     ExchangeId client = 0;
     HttpRequest message;
+    std::string name;       // the client's id of it
     std::uint32_t out = 0;  // attempts
     bool ended = false;     // answered, or its client left
   };
@@ -80,6 +85,7 @@
   Discovery discovery_;
   std::unordered_map<ochrehill::RequestId, Exchange> exchanges_;
   std::unordered_map<ExchangeId, ochrehill::RequestId> byClient_;
+  std::unordered_set<std::string> names_;   // of exchanges_
   std::vector<ochrehill::RequestId> over_;  // may be dropped once the actions are done
   std::deque<AttemptEnd> ends_;             // raised while actions are carried out
   boost::asio::steady_timer waker_, drainTimer_;
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -166,6 +166,8 @@
     if (status == http::status::ok) return framed() ? Outcome::served : Outcome::reset;
     const bool busy = status == http::status::service_unavailable || status == http::status::gateway_timeout;
     if (busy && answer["X-Not-Run"] == "1") return Outcome::full;
+    // Told by the protocol to mean the request, not the host: sent to others it would be turned away again.
+    if (status == http::status::bad_request || status == http::status::not_found) return Outcome::rejected;
     return Outcome::error;  // it may have run, whatever the answer says
   }
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -54,6 +54,7 @@
   std::uint64_t hash = 0;
   bool local = false;
   int inflight = 0;
+  int named = 0;    // by attempts of open requests, also those that are over
   double pace = 1;  // time taken against the class's usual time
   double fails = 0;
   double served = 0;                // answers since the last sweep
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -521,6 +521,7 @@
       case ActionKind::close:
         out.append("CLOSE i=").append(g.name).append(" host=").append(g.balancer.address(a.host));
         break;
+      case ActionKind::forget: continue;  // names of hosts are used here, not ids
       case ActionKind::wake:
         out.append("WAKE_AT i=").append(g.name).append(" alarmTimeNs=");
         append(out, a.span.count());
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -557,6 +557,67 @@
   EXPECT_FALSE(taken->answers[0].keep_alive());
 }
 
+// --- What is kept ---------------------------------------------------------------------------------------
+
+TEST_F(GatewayTest, HostsThatCameAndWentAreForgotten) {
+  addHost("a", always(answerText(200, "", "stays")));
+  start();
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+    // Each new one at the address of one that is gone, under an id of its own.
+    const std::string uid = "s-new-" + std::to_string(i);
+    discovery.push({{"all", false}, {"targets", {target(uid, hosts[0]->endpoint)}}});
+    ASSERT_TRUE(until([&] { return gateway->hosts() == 2; }));
+    EXPECT_EQ(ask(text("write")).body(), "stays");
+    ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+    if (i % 2) discovery.push({{"all", true}, {"targets", discovery.list}});
+    else discovery.push({{"all", false}, {"targets", {{{"uid", uid}, {"state", "DELETED"}}}}});
+    ASSERT_TRUE(until([&] { return gateway->hosts() == 1; }));
+  }
+  EXPECT_EQ(gateway->openRequests(), 0u);
+}
+
+TEST_F(GatewayTest, AHostThatLeftIsForgottenOnceItsLastAttemptIsOverAndItsConnectionIsNotKept) {
+  std::shared_ptr<PeerConnection> held;
+  addHost("a", [&](PeerConnection& c, std::size_t) { held = c.shared_from_this(); });
+  start();
+  auto c = client();
+  c->send(text("write"));
+  ASSERT_TRUE(until([&] { return held && discovery.held.size() == 1; }));
+  discovery.push({{"all", true}, {"targets", json::array()}});
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  EXPECT_EQ(gateway->hosts(), 1u);
+  held->reply(answerText(200, "", "late but whole"));
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].body(), "late but whole");
+  EXPECT_TRUE(until([&] { return held->closedByPeer && gateway->hosts() == 0; }));
+}
+
+TEST_F(GatewayTest, TheIdOfAnOpenRequestIsNotTakenTwice) {
+  std::shared_ptr<PeerConnection> held;
+  addHost("a", [&](PeerConnection& c, std::size_t) { held = c.shared_from_this(); });
+  start();
+  const std::string one = text("write");
+  auto c = client();
+  c->send(one);
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  EXPECT_EQ(ask(one).result_int(), 409u);
+  held->reply(answerText(200, "", "first"));
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  EXPECT_EQ(c->answers[0].body(), "first");
+  EXPECT_EQ(reached.size(), 1u);
+  EXPECT_EQ(gateway->openRequests(), 0u);
+}
+
+TEST_F(GatewayTest, ARequestThatAHostFindsFaultWithIsNotSentToOthersAndTheHostIsNotBlamed) {
+  twoHosts([](PeerConnection& c, std::size_t n) { c.reply(answerText(n < 20 ? 400 : 200, "", "")); });
+  for (std::size_t i = 1; i <= 20; ++i) {
+    EXPECT_EQ(ask(text("read")).result_int(), 502u);
+    EXPECT_EQ(reached.size(), i);
+  }
+  EXPECT_EQ(ask(text("read")).result_int(), 200u);
+}
+
 // --- A new configuration ----------------------------------------------------------------------------------
 
 TEST_F(GatewayTest, ReloadMovesToAnotherDiscoveryAndKeepsTheHostsTillItsListIsThere) {
