Clients: strict framing, an end within 3 s of connecting, close after an error, bounds in order

Beast 1.74 let pass (probed by the test): bare line feeds in places, folded fields, trailers taken for fields of the head. Length together with coding it refused already: that suspicion was wrong. Sessions now stand in one queue for each state, the oldest in front; sockets are waited for and read only when readable, so idle ones hold no buffer and what has come is seen before one is closed. Bodies under way are bounded by memory_mb.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -5,10 +5,14 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
+#include <iterator>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "net/framing.hpp"
+
 namespace cairnjunction {
 namespace {
 
@@ -20,8 +24,12 @@
 
 constexpr std::size_t kChunk = 4096;                          // read at a time
 constexpr auto kSweep = std::chrono::milliseconds(100);       // slow and idle connections are looked for
-constexpr auto kLinger = std::chrono::milliseconds(1000);     // for a client to close after the last answer
-constexpr auto kAcceptAgain = std::chrono::milliseconds(20);  // when no descriptor was left
+constexpr auto kLinger = std::chrono::milliseconds(500);      // for a client to close after the last answer,
+constexpr std::size_t kDiscardMost = 256 << 10;               // and so much of what it sends is read out
+constexpr auto kAcceptAgain = std::chrono::milliseconds(20);  // when there was no room or no descriptor left
+constexpr std::size_t kAcceptAtOnce = 32;                     // then those that are connected have a turn
+constexpr auto kSettle = std::chrono::milliseconds(50);       // a usual client has sent its request by then
+constexpr std::size_t kLookAt = 8;                            // sessions of a queue that are asked for room
 
 }  // namespace
 
@@ -31,20 +39,24 @@
     renew();
   }
 
-  void start() { read(); }
+  void start(Queue::iterator place) {
+    place_ = place;
+    arm();
+  }
 
   void answer(HttpResponse response) {
-    state_ = State::writing;
+    become(State::writing);
     exchange_ = 0;
     response_ = std::move(response);
     response_.version(11);
-    const bool keep = keepAlive_ && !server_->last_;
+    // A client in error is left: the next it sends may be anything, and the same again costs as much.
+    const bool keep = keepAlive_ && !server_->last_ &&
+                      http::to_status_class(response_.result()) != http::status_class::client_error;
     response_.keep_alive(keep);
     response_.prepare_payload();
-    since_ = Clock::now();
     http::async_write(socket_, response_, [self = shared_from_this(), keep](error_code ec, std::size_t) {
       if (self->state_ != State::writing) return;
-      if (ec || self->left_) return self->close();
+      if (ec) return self->close();
       self->response_ = {};
       if (keep) self->next();
       else self->linger();
@@ -53,109 +65,137 @@
 
   void close() {
     if (state_ == State::closed) return;
+    const auto self = shared_from_this();
+    release();
+    server_->queue(state_).erase(place_);
     state_ = State::closed;
     error_code ignored;
     socket_.close(ignored);
-    server_->ended(shared_from_this());
+    server_->ended();
   }
 
-  // Between requests, with nothing of the next one come.
-  bool idle() const {
-    if (state_ != State::reading || begun_) return false;
+  // Nothing of a request is here or has come to the socket.
+  bool silent() const {
+    error_code ec;
+    return buffer_.size() == 0 && (socket_.available(ec) == 0 || ec);
+  }
+  bool unread() const {
     error_code ec;
-    return socket_.available(ec) == 0 || ec;
+    return socket_.available(ec) > 0 && !ec;
   }
   Clock::time_point since() const { return since_; }
+  State state() const { return state_; }
 
-  bool overdue(Clock::time_point now) const {
+  // The socket is only waited for, and read when there is something: so an idle connection holds no buffer,
+  // and what has come but was not read is seen before one is closed.
+  void readable() {
+    if (state_ == State::writing || state_ == State::closed) return;
+    error_code ec;
+    const std::size_t n = socket_.read_some(buffer_.prepare(kChunk), ec);
+    if (ec == asio::error::would_block || ec == asio::error::try_again) return arm();
+    if (ec) return state_ == State::waiting ? gone() : close();
+    buffer_.commit(n);
     switch (state_) {
-      case State::reading: return now - since_ > (begun_ ? server_->limits_.slow : server_->limits_.idle);
-      case State::writing: return now - since_ > server_->limits_.slow;  // a client that doesn't read
-      case State::lingering: return now - since_ > kLinger;
-      default: return false;
+      case State::fresh:
+      case State::idle:
+      case State::begun: return consume();
+      case State::lingering:
+        discarded_ += n;
+        buffer_.consume(buffer_.size());
+        return discarded_ > kDiscardMost ? close() : arm();
+      default: return;  // sent before it was asked for: kept for the next turn, and no more is read till then
     }
   }
 
  private:
-  enum class State { reading, waiting, writing, lingering, closed };
+  void become(State state) {
+    Queue& to = server_->queue(state);
+    to.splice(to.end(), server_->queue(state_), place_);
+    state_ = state;
+    since_ = Clock::now();
+    if (state == State::writing) release();
+  }
+
+  void release() { server_->bodies_ -= std::exchange(charged_, 0); }
 
   void renew() {
+    scanner_ = HeadScanner(HeadScanner::Kind::request);
+    headSeen_ = begun_ = false;
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(kHeaderLimit);
     parser_->body_limit(kBodyLimit);
-    state_ = State::reading;
-    begun_ = false;
-    since_ = Clock::now();
   }
 
   void next() {
     renew();
-    if (!receiving_) consume();
-  }
-
-  // One read is always out, also while an answer is awaited: this is how a client's leaving is noticed.
-  void read() {
-    receiving_ = true;
-    socket_.async_read_some(buffer_.prepare(kChunk),
-                            [self = shared_from_this()](error_code ec, std::size_t n) {
-                              self->receiving_ = false;
-                              self->received(ec, n);
-                            });
+    become(State::idle);
+    if (buffer_.size() > 0) return consume();
+    buffer_.shrink_to_fit();
+    arm();
   }
 
-  void received(error_code ec, std::size_t n) {
-    if (state_ == State::closed) return;
-    if (ec) {
-      if (state_ == State::writing) left_ = true;  // the answer may still arrive
-      else if (state_ == State::waiting) gone();
-      else close();
-      return;
-    }
-    buffer_.commit(n);
-    switch (state_) {
-      case State::reading: return consume();
-      case State::lingering: buffer_.consume(buffer_.size()); return read();
-      default: return;  // sent before it was asked for: kept for the next turn, and no more is read till then
-    }
+  // Armed also while an answer is awaited: this is how a client's leaving is noticed.
+  void arm() {
+    if (armed_) return;
+    armed_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+      self->armed_ = false;
+      if (ec) self->close();
+      else self->readable();
+    });
   }
 
   void consume() {
-    if (buffer_.size() > 0 && !begun_) {
+    if (!begun_) {
       begun_ = true;
-      since_ = Clock::now();
+      begunAt_ = Clock::now();
+      if (state_ == State::idle) become(State::begun);
     }
-    while (buffer_.size() > 0 && !parser_->is_done()) {
-      error_code ec;
+    if (!headSeen_) {
+      const auto data = buffer_.data();
+      const auto head = scanner_.scan({static_cast<const char*>(data.data()), data.size()});
+      if (head == HeadScanner::State::bad) return reject(http::status::bad_request);
+      if (head == HeadScanner::State::more && buffer_.size() > kHeaderLimit)
+        return reject(http::status::payload_too_large);
+      if (head == HeadScanner::State::more) return arm();
+      headSeen_ = true;
+    }
+    error_code ec;
+    while (buffer_.size() > 0 && !parser_->is_done() && !ec)
       buffer_.consume(parser_->put(buffer_.data(), ec));
-      if (ec == http::error::need_more) break;
-      if (ec) return reject(ec);
+    if (ec && ec != http::error::need_more) {
+      const bool large = ec == http::error::header_limit || ec == http::error::body_limit;
+      return reject(large ? http::status::payload_too_large : http::status::bad_request);
+    }
+    if (charged_ == 0 && parser_->is_header_done()) {
+      charged_ = parser_->content_length() ? *parser_->content_length() : parser_->chunked() ? kBodyLimit : 0;
+      server_->bodies_ += charged_;
+      if (server_->bodies_ > server_->limits_.bodyBytes) return reject(http::status::service_unavailable);
     }
     // Danger: the parser bounds head and body, not the head of a chunk; the buffer throws when it is full,
     // and that would end the process.
     if (!parser_->is_done() && buffer_.size() + kChunk > buffer_.max_size())
-      return reject(http::error::header_limit);
-    if (!parser_->is_done()) return read();
+      return reject(http::status::payload_too_large);
+    if (!parser_->is_done()) return arm();
+    // Danger: the parser takes what stands behind the last chunk for fields of the head.
+    const auto& head = parser_->get().base();
+    if (parser_->chunked() && std::distance(head.begin(), head.end()) != static_cast<long>(scanner_.fields()))
+      return reject(http::status::bad_request);
     keepAlive_ = parser_->get().keep_alive();
-    ClientRequest request{exchange_ = ++server_->lastExchange_, parser_->release(), since_};
-    state_ = State::waiting;
+    ClientRequest request{exchange_ = ++server_->lastExchange_, parser_->release(), begunAt_};
+    become(State::waiting);
     server_->waiting_.emplace(exchange_, shared_from_this());
-    if (buffer_.size() == 0) read();
+    if (buffer_.size() == 0) arm();
     server_->callbacks_.request(std::move(request));
   }
 
-  void reject(error_code ec) {
-    const bool large = ec == http::error::header_limit || ec == http::error::body_limit;
+  void reject(http::status status) {
     keepAlive_ = false;
     HttpResponse response;
-    response.result(large ? http::status::payload_too_large : http::status::bad_request);
+    response.result(status);
+    if (status == http::status::service_unavailable) response.set(http::field::retry_after, "1");
     answer(std::move(response));
-    if (!receiving_) discard();
-  }
-
-  void discard() {
-    buffer_.consume(buffer_.size());
-    read();
   }
 
   void gone() {
@@ -166,24 +206,27 @@
   }
 
   // Danger: a connection that is closed with unread bytes in it is reset, and the reset may overtake the
-  // answer. So our side ends first, and the client's is read out.
+  // answer. So our side ends first, and the client's is read out, within bounds.
   void linger() {
-    state_ = State::lingering;
-    since_ = Clock::now();
+    become(State::lingering);
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    if (!receiving_) discard();
+    buffer_.consume(buffer_.size());
+    arm();
   }
 
   ClientServer* server_;
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kHeaderLimit + kBodyLimit};
+  HeadScanner scanner_{HeadScanner::Kind::request};
   std::optional<http::request_parser<http::string_body>> parser_;
   HttpResponse response_;
-  State state_ = State::reading;
+  State state_ = State::fresh;
+  Queue::iterator place_;
   ExchangeId exchange_ = 0;
-  Clock::time_point since_;  // of the state; of a request's first byte, once it is there
-  bool begun_ = false, receiving_ = false, keepAlive_ = false, left_ = false;
+  Clock::time_point since_ = Clock::now(), begunAt_;  // of the state; of a request's first byte
+  std::size_t discarded_ = 0, charged_ = 0;
+  bool begun_ = false, headSeen_ = false, armed_ = false, keepAlive_ = false;
 };
 
 ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& listen, Limits limits,
@@ -203,8 +246,8 @@
   onEmpty = nullptr;
   callbacks_.gone = [](ExchangeId) {};
   waiting_.clear();
-  const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
-  for (const auto& session : all) session->close();
+  for (Queue& sessions : queues_)
+    while (!sessions.empty()) sessions.front()->close();
 }
 
 void ClientServer::answer(ExchangeId exchange, HttpResponse response) {
@@ -218,7 +261,7 @@
 void ClientServer::accept() {
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code ec) {
     if (ec || !acceptor_.is_open()) return;
-    if (takeWaiting()) return accept();
+    if (takeWaiting(kAcceptAtOnce)) return accept();
     // Danger: with no descriptor left the listener stays readable, and the loop would spin.
     again_.expires_after(kAcceptAgain);
     again_.async_wait([this](error_code waitError) {
@@ -227,43 +270,63 @@
   });
 }
 
-// Takes all that wait; false if there was no room for more. Danger: at the limit, room may be made only for
+// Takes what waits; false if there was no room for more. Danger: at the limit, room may be made only for
 // a connection that is there: an idle client is not sent away for nobody. So there may be one over it.
-bool ClientServer::takeWaiting() {
-  for (;;) {
-    if (sessions_.size() > limits_.connections && !closeOldestIdle()) return false;
+bool ClientServer::takeWaiting(std::size_t most) {
+  for (std::size_t i = 0; i < most; ++i) {
+    if (open_ > limits_.connections && !makeRoom()) return false;
     error_code ec;
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again) return true;
     if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
-    if (ec) return closeOldestIdle();
-    if (sessions_.size() >= limits_.connections) closeOldestIdle();
+    if (ec) return makeRoom();
+    if (open_ >= limits_.connections) makeRoom();
     admit(std::move(socket));
-    if (sessions_.size() > limits_.connections) return false;
+    if (open_ > limits_.connections) return false;
   }
+  return true;
 }
 
 void ClientServer::admit(tcp::socket socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  const auto session = std::make_shared<Session>(*this, std::move(socket));
-  sessions_.insert(session);
-  session->start();
+  socket.non_blocking(true, ignored);
+  Queue& fresh = queue(State::fresh);
+  fresh.push_back(std::make_shared<Session>(*this, std::move(socket)));
+  ++open_;
+  fresh.back()->start(std::prev(fresh.end()));
+}
+
+// First those that were answered for the last time, then those that connected and say nothing, then those
+// between two requests. Danger: clients that connect by hundreds and say nothing would drive out all the
+// usual ones; with so many of them, new ones wait until the silent ones have had their time.
+bool ClientServer::makeRoom() {
+  const auto settled = Clock::now() - kSettle;
+  return closeOneOf(State::lingering, settled) || closeOneOf(State::fresh, settled) ||
+         (queue(State::fresh).size() <= limits_.connections / 2 && closeOneOf(State::idle, Clock::now()));
 }
 
-bool ClientServer::closeOldestIdle() {
-  std::shared_ptr<Session> oldest;
-  for (const auto& session : sessions_)
-    if ((!oldest || session->since() < oldest->since()) && session->idle()) oldest = session;
-  if (!oldest) return false;
-  oldest->close();
+bool ClientServer::closeOneOf(State state, Clock::time_point before) {
+  std::shared_ptr<Session> half;  // has begun its first request
+  std::size_t looked = 0;
+  for (const auto& session : queue(state)) {
+    if (session->since() > before || ++looked > kLookAt) break;
+    if (state == State::lingering || session->silent()) {
+      const auto chosen = session;
+      chosen->close();
+      return true;
+    }
+    if (!half && !session->unread()) half = session;
+  }
+  if (!half) return false;
+  half->close();
   return true;
 }
 
-void ClientServer::ended(const std::shared_ptr<Session>& session) {
-  sessions_.erase(session);
-  if (sessions_.empty() && !acceptor_.is_open() && onEmpty)
+void ClientServer::ended() {
+  --open_;
+  if (open_ == 0 && !acceptor_.is_open() && onEmpty)
     asio::post(io_, [this] {
       if (onEmpty) onEmpty();
     });
@@ -273,22 +336,33 @@
 
 void ClientServer::stopAccepting() {
   // Danger: what waits to be accepted may hold requests already; a closed listener would reset them.
-  takeWaiting();
+  takeWaiting(limits_.connections);
   error_code ignored;
   acceptor_.close(ignored);
   again_.cancel();
-  const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
-  for (const auto& session : all)
-    if (session->idle()) session->close();
-  if (sessions_.empty() && onEmpty) onEmpty();
+  for (const State state : {State::fresh, State::idle}) {
+    const std::vector<std::shared_ptr<Session>> all(queue(state).begin(), queue(state).end());
+    for (const auto& session : all)
+      if (session->silent()) session->close();
+  }
+  if (open_ == 0 && onEmpty) onEmpty();
 }
 
 void ClientServer::sweep() {
   const auto now = Clock::now();
-  std::vector<std::shared_ptr<Session>> overdue;
-  for (const auto& session : sessions_)
-    if (session->overdue(now)) overdue.push_back(session);
-  for (const auto& session : overdue) session->close();
+  const std::array<std::pair<State, std::chrono::milliseconds>, 5> bounds{
+      {{State::fresh, limits_.slow},
+       {State::begun, limits_.slow},
+       {State::idle, limits_.idle},
+       {State::writing, 2 * limits_.slow},  // a client that doesn't read
+       {State::lingering, kLinger}}};
+  for (const auto& [state, bound] : bounds)
+    while (!queue(state).empty() && now - queue(state).front()->since() > bound) {
+      const auto session = queue(state).front();
+      // Danger: the last byte may have come in this moment, and then an answer is owed.
+      if (session->unread()) session->readable();
+      if (session->state() == state && now - session->since() > bound) session->close();
+    }
   sweeper_.expires_after(kSweep);
   sweeper_.async_wait([this](error_code ec) {
     if (!ec) sweep();
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -1,6 +1,7 @@
 // The clients' side: accepts, parses, answers, and notices that a client left.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -8,9 +9,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "net/host_pool.hpp"
 
@@ -28,8 +29,11 @@
  public:
   struct Limits {
     std::size_t connections = 640;
-    std::chrono::milliseconds slow{5000};   // a request must be whole so long after its first byte
-    std::chrono::milliseconds idle{75000};  // between requests
+    std::size_t bodyBytes = 16 << 20;  // announced by the requests under way, all together
+    // A request must be whole so long after its first byte, the first one so long after connecting: a client
+    // that says nothing or half a thing is owed an end within three seconds.
+    std::chrono::milliseconds slow{2500};
+    std::chrono::milliseconds idle{15000};  // between requests
   };
   struct Callbacks {
     std::function<void(ClientRequest)> request;  // to be answered by answer(), now or later
@@ -48,18 +52,23 @@
   void answer(ExchangeId exchange, HttpResponse response);
   void lastAnswers();    // from now on every answer closes its connection
   void stopAccepting();  // takes what waits to be accepted, then closes the listener and idle connections
-  std::size_t connections() const { return sessions_.size(); }
+  std::size_t connections() const { return open_; }
 
   std::function<void()> onEmpty;  // after stopAccepting: the last connection is closed
 
  private:
   class Session;
+  // In each state sessions wait in order of their coming: the front is the first to be overdue.
+  enum class State { fresh, idle, begun, waiting, writing, lingering, closed };
+  using Queue = std::list<std::shared_ptr<Session>>;
 
   void accept();
-  bool takeWaiting();
+  bool takeWaiting(std::size_t most);
   void admit(boost::asio::ip::tcp::socket socket);
-  bool closeOldestIdle();
-  void ended(const std::shared_ptr<Session>& session);
+  bool makeRoom();
+  bool closeOneOf(State state, std::chrono::steady_clock::time_point before);
+  void ended();
+  Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
   void sweep();
 
   boost::asio::io_context& io_;
@@ -67,7 +76,8 @@
   Limits limits_;
   Callbacks callbacks_;
   boost::asio::steady_timer sweeper_, again_;
-  std::unordered_set<std::shared_ptr<Session>> sessions_;
+  std::array<Queue, 7> queues_;
+  std::size_t open_ = 0, bodies_ = 0;
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   ExchangeId lastExchange_ = 0;
   bool last_ = false;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -147,6 +147,7 @@
   read(json, "seed", seed);
   if (!seed.empty()) config.module.seed = readSeed(seed);
   read(part(json, "limits"), "sockets", config.sockets);
+  read(part(json, "limits"), "memory_mb", config.memoryMb);
   if (config.sockets < 64) throw BadConfig("sockets: at least 64 are needed");
   config.connectTimeout = std::chrono::milliseconds(250);
   read(part(part(json, "settings"), "ceilings"), "connectTimeoutNs", config.connectTimeout);
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -26,6 +26,7 @@
   std::string name;
   tcp::endpoint listen, discovery;
   std::size_t sockets = 1024;            // file descriptors that the process may hold
+  std::size_t memoryMb = 192;            // beyond it the process is killed
   ochrehill::Duration connectTimeout{};  // for a new connection to a host
   ochrehill::Settings module;            // for the decisions
   std::optional<HostList> known;         // hosts as last had; may be old
--- a/src/net/framing.cpp
+++ b/src/net/framing.cpp
@@ -69,6 +69,7 @@
   const std::size_t colon = line.find(':');
   // No space is allowed in a name, so a folded line has none either.
   if (colon == std::string_view::npos || !token(line.substr(0, colon))) return false;
+  ++fields_;
   const std::string_view name = line.substr(0, colon);
   std::string_view value = line.substr(colon + 1);
   value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
--- a/src/net/framing.hpp
+++ b/src/net/framing.hpp
@@ -17,13 +17,14 @@
 
   // `received` is all that has come since the message's first byte; goes on where the last call stopped.
   State scan(std::string_view received);
+  std::size_t fields() const { return fields_; }
 
  private:
   bool takeLine(std::string_view line);
   bool takeField(std::string_view line);
 
   Kind kind_;
-  std::size_t at_ = 0, lineAt_ = 0;
+  std::size_t at_ = 0, lineAt_ = 0, fields_ = 0;
   bool first_ = true, length_ = false, coded_ = false, old_ = false;
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -30,6 +30,8 @@
 
 // The module's clock at our start: hosts that started up to a day before have a time of their own on it.
 constexpr Time kClockStart = std::chrono::hours(24);
+// Of the memory, for bodies of requests: each may be held three times, and its answer beside it.
+constexpr std::size_t kBodyPart = 8;
 // Of the descriptors: listener, discovery, event loop, standard streams and what the libraries open.
 constexpr std::size_t kOwnDescriptors = 32;
 
@@ -96,6 +98,7 @@
 
 ClientServer::Limits clientLimits(const Config& config, ClientServer::Limits waits) {
   waits.connections = std::min(waits.connections, shareOf(config.sockets, 3, 5));
+  waits.bodyBytes = std::min(waits.bodyBytes, (config.memoryMb << 20) / kBodyPart);
   return waits;
 }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -430,6 +430,96 @@
   EXPECT_TRUE(c->answers.empty());
 }
 
+TEST_F(GatewayTest, AConnectionThatSaysNothingIsClosedAndAnIdleOneIsKeptLonger) {
+  twoHosts(always(answerText(200, "", "ok")));
+  gateway.reset();
+  waits.clients.slow = std::chrono::milliseconds(1000);
+  start();
+  auto usual = client();
+  usual->send(text("read"));
+  ASSERT_TRUE(until([&] { return usual->answers.size() == 1; }));
+  auto silent = client();
+  EXPECT_TRUE(until([&] { return silent->closedByPeer; }));
+  EXPECT_FALSE(usual->closedByPeer);
+}
+
+TEST_F(GatewayTest, WhereAMessageEndsMayNotBeInDoubt) {
+  twoHosts(always(answerText(200, "", "ok")));
+  const std::string post = "POST /write HTTP/1.1\r\nX-Request-Id: r\r\n";
+  const std::string hidden = "GET /read HTTP/1.1\r\nX-Request-Id: hidden\r\n\r\n";
+  const std::string coded = "Transfer-Encoding: chunked\r\n";
+  for (const std::string& bad :
+       {post + "Content-Length: 4\r\n" + coded + "\r\n0\r\n\r\n" + hidden,
+        post + coded + "Content-Length: 4\r\n\r\n0\r\n\r\n" + hidden,
+        post + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab" + hidden,
+        post + "Content-Length: 2, 2\r\n\r\nab" + hidden,
+        post + "Content-Length: +2\r\n\r\nab" + hidden,
+        post + "Content-Length: -2\r\n\r\nab" + hidden,
+        post + "Content-Length: 0x2\r\n\r\nab" + hidden,
+        post + "Content-Length: \r\n\r\n" + hidden,
+        post + "Content-Length : 2\r\n\r\nab" + hidden,
+        post + "Content-Length: 99999999999999999999\r\n\r\nab",
+        post + coded + coded + "\r\n0\r\n\r\n" + hidden,
+        post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + hidden,
+        post + "Transfer-Encoding: identity\r\n\r\n" + hidden,
+        post + "X: a\r\n b\r\n\r\n" + hidden,
+        post + "X: a\nY: b\r\n\r\n" + hidden,
+        post + std::string("X: a\0b\r\n\r\n", 10) + hidden,
+        post + "X: a\rb\r\n\r\n" + hidden,
+        post + "no colon\r\n\r\n" + hidden,
+        post + coded + "\r\n0\r\nX-Class: read\r\n\r\n" + hidden,
+        post + coded + "\r\nzz\r\nab\r\n0\r\n\r\n" + hidden,
+        std::string("GET  /read HTTP/1.1\r\nX-Request-Id: r\r\n\r\n"),
+        std::string("GET /read HTTP/2.0\r\nX-Request-Id: r\r\n\r\n"),
+        post + "X-Request-Id: s\r\nContent-Length: 0\r\n\r\n" + hidden,
+        std::string("POST /write HTTP/1.0\r\nX-Request-Id: r\r\n") + coded + "\r\n0\r\n\r\n" + hidden}) {
+    auto c = client();
+    c->send(bad);
+    ASSERT_TRUE(until([&] { return c->closedByPeer; })) << bad;
+    ASSERT_EQ(c->answers.size(), 1u) << bad;
+    EXPECT_EQ(c->answers[0].result_int(), 400u) << bad;
+  }
+  EXPECT_TRUE(reached.empty());
+}
+
+TEST_F(GatewayTest, ARejectedBodyIsNotReadToItsEnd) {
+  twoHosts(always(answerText(200, "", "ok")));
+  auto c = client();
+  const std::size_t before = gateway->connections();
+  c->send("POST /write HTTP/1.1\r\nX-Request-Id: r\r\nContent-Length: 60000000\r\n\r\n" +
+          std::string(60'000'000, 'x'));
+  EXPECT_TRUE(until([&] { return gateway->connections() < before + 1 && c->closedByPeer; }));
+  EXPECT_TRUE(c->answers.empty() || c->answers[0].result_int() == 413u);
+}
+
+TEST_F(GatewayTest, BodiesUnderWayAreBoundedByTheMemory) {
+  waits.clients.bodyBytes = kBodyLimit;
+  twoHosts(always(answerText(200, "", "ok")));
+  auto slow = client();
+  slow->send("POST /write HTTP/1.1\r\nX-Request-Id: slow\r\nContent-Length: 60000\r\n\r\n" +
+             std::string(10, 'x'));
+  const std::string large = text("write", "", std::string(10000, 'x'));
+  ASSERT_TRUE(until([&] { return ask(large).result_int() == 503u; }));  // as soon as the first is read
+  slow->send(std::string(59990, 'x'));
+  ASSERT_TRUE(until([&] { return slow->answers.size() == 1; }));
+  EXPECT_EQ(slow->answers[0].result_int(), 200u);
+  EXPECT_EQ(ask(text("write", "", std::string(10000, 'x'))).result_int(), 200u);
+}
+
+TEST_F(GatewayTest, ClientsThatConnectAndSayNothingDoNotDriveOutTheOthers) {
+  waits.clients.connections = 8;
+  twoHosts(always(answerText(200, "", "ok")));
+  auto usual = client();
+  usual->send(text("read"));
+  ASSERT_TRUE(until([&] { return usual->answers.size() == 1; }));
+  std::vector<std::shared_ptr<Client>> silent;
+  for (int i = 0; i < 40; ++i) silent.push_back(client());
+  EXPECT_EQ(ask(text("read")).result_int(), 200u) << "behind all of them";
+  EXPECT_FALSE(usual->closedByPeer);
+  usual->send(text("read"));
+  EXPECT_TRUE(until([&] { return usual->answers.size() == 2; }));
+}
+
 TEST_F(GatewayTest, IdleClientsMakeRoomForNewOnes) {
   waits.clients.connections = 4;
   twoHosts(always(answerText(200, "", "ok")));
