--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -299,29 +299,28 @@
 }
 
 // First those that were answered for the last time, then those that connected and say nothing, then those
-// between two requests. Danger: clients that connect by hundreds and say nothing would drive out all the
-// usual ones; with so many of them, new ones wait until the silent ones have had their time.
+// between two requests, and last those whose first request is slow to come: they would lose it. Danger:
+// clients that connect by hundreds and say nothing would drive out all the usual ones; with so many of them,
+// new ones wait until the silent ones have had their time.
 bool ClientServer::makeRoom() {
-  const auto settled = Clock::now() - kSettle;
-  return closeOneOf(State::lingering, settled) || closeOneOf(State::fresh, settled) ||
-         (queue(State::fresh).size() <= limits_.connections / 2 && closeOneOf(State::idle, Clock::now()));
+  const auto now = Clock::now();
+  if (closeOneOf(State::lingering, now - kSettle) || closeOneOf(State::fresh, now - kSettle)) return true;
+  if (queue(State::fresh).size() > limits_.connections / 2)
+    return closeOneOf(State::fresh, now - kSettle, true);
+  return closeOneOf(State::idle, now) || closeOneOf(State::fresh, now - kSettle, true);
 }
 
-bool ClientServer::closeOneOf(State state, Clock::time_point before) {
-  std::shared_ptr<Session> half;  // has begun its first request
+// The first of a queue's oldest that is silent, or also one with half a request.
+bool ClientServer::closeOneOf(State state, Clock::time_point before, bool half) {
   std::size_t looked = 0;
   for (const auto& session : queue(state)) {
-    if (session->since() > before || ++looked > kLookAt) break;
-    if (state == State::lingering || session->silent()) {
-      const auto chosen = session;
-      chosen->close();
-      return true;
-    }
-    if (!half && !session->unread()) half = session;
+    if (session->since() > before || ++looked > kLookAt) return false;
+    if (state != State::lingering && !session->silent() && !(half && !session->unread())) continue;
+    const auto chosen = session;
+    chosen->close();
+    return true;
   }
-  if (!half) return false;
-  half->close();
-  return true;
+  return false;
 }
 
 void ClientServer::ended() {
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -66,7 +66,7 @@
   bool takeWaiting(std::size_t most);
   void admit(boost::asio::ip::tcp::socket socket);
   bool makeRoom();
-  bool closeOneOf(State state, std::chrono::steady_clock::time_point before);
+  bool closeOneOf(State state, std::chrono::steady_clock::time_point before, bool half = false);
   void ended();
   Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
   void sweep();
