Idle limit that follows what the pool holds: few means under the mean, not none

To blame: Balancer::Impl::idle(), whose limit of one holds for no host once there are more requests than hosts, so that pick() always falls through to two blind draws; some hosts queue beside free cores, answers take longer, and the cut rises.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -70,7 +70,13 @@
 constexpr double kShareGain = 0.5;             // power of the excess taken off a host's share at each report
 constexpr double kShareBack = 1.1;             // and its way back
 constexpr double kShareLeast = 0.05;           // a trickle, or it would never be known better
-constexpr double kLocalLean = 2;               // own zone in the draw: yields to a host 1.4 times as fast
+// Danger: with more requests than hosts each holds several, a fixed limit of one counts none as idle, and two
+// blind draws decide: some hosts queue while cores of others stand free. So few is what lies under the mean,
+// whatever made it uneven: slow answers, a host back from a pause, cancels. It could do harm where a host
+// holds little because it fails at once (trust and ejection are to keep that one out), and it means nothing
+// where each of many gateways holds less than one a host: there it is one, as before.
+constexpr double kFewOfMean = 0.75;
+constexpr double kLocalLean = 2;  // own zone in the draw: yields to a host 1.4 times as fast
 // Danger: something on the way may drop idle connections unseen, and what is sent on one is lost without a
 // word. Losses are counted by how long the connection lay idle, in steps that double from here on;
 constexpr Duration kIdleStep = milliseconds(250);
@@ -137,6 +143,7 @@
   double fullSeen = 0, outcomeSeen = kErrorPrior;         // decayed counts
   double calmHeld = 0;                                    // in-flight a host while nothing is refused
   double meanAim = 0, meanWork = 0;                       // seconds over the recent arrivals: aim, usual time
+  double few = 1;                                         // held by a host of the usual pace: fewer is idle
   double medianPace = 1, medianCrowd = 1, peerFails = 0, norm = 0;
   double retryTokens = kRetrySaved;
   std::array<double, kIdleSteps> idleLost{};  // share of attempts lost, by idle time of the connection
@@ -472,8 +479,8 @@
     return std::max(well * well * well, kClassLeast);
   }
   double load(const Host& h) const { return (h.inflight + 1) * h.pace; }
-  bool idle(const Host& h) const {  // holds none of ours; a fast host may hold more
-    return h.inflight < std::max(1.0, medianPace / std::max(h.pace, 0.05));
+  bool idle(const Host& h) const {  // holds few of ours; a fast host may hold more
+    return h.inflight < few * medianPace / std::max(h.pace, 0.05);
   }
 
   bool free(const Host& h) const {  // an open connection has room
@@ -531,6 +538,8 @@
   }
 
   HostId pick(const Open& r) {
+    few =
+        std::max(kFewOfMean * heldNow() / static_cast<double>(std::max<std::size_t>(listed.size(), 1)), 1.0);
     gather(r, false);
     if (ready.empty()) gather(r, true);  // no healthy host: any that the rules allow beats none
     if (ready.empty()) return kNone;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <memory>
 #include <set>
+#include <utility>
+#include <vector>
 
 #include "net_peers.hpp"
 
@@ -344,6 +346,37 @@
 
 // --- Keyed requests -------------------------------------------------------------------------------------
 
+TEST_F(GatewayTest, WithSeveralOnEachHostTheNextGoToTheOneThatHoldsFew) {
+  const auto waits = [](PeerConnection&, std::size_t) {};
+  for (int i = 0; i < 6; ++i) addHost("a", waits);
+  start();
+  std::vector<std::pair<std::string, std::shared_ptr<Client>>> open;  // host and client of each request
+  const auto sendOne = [&] {
+    auto c = client();
+    c->send(text("write"));
+    const std::size_t before = reached.size();
+    ASSERT_TRUE(until([&] { return reached.size() > before; }));
+    open.emplace_back(reached.back(), c);
+  };
+  for (int i = 0; i < 12; ++i) sendOne();
+  for (const char* const freed : {"s-1", "s-4", "s-2"}) {
+    std::size_t left = 0;
+    for (auto& [host, c] : open)
+      if (host == freed) c->close(), ++left;
+    std::erase_if(open, [&](const auto& o) { return o.first == freed; });
+    ASSERT_GE(left, 2u) << "the twelve lie evenly on six hosts";
+    Peer& host = *hosts[static_cast<std::size_t>(freed[2] - '0')];
+    ASSERT_TRUE(until([&] {
+      return std::all_of(host.connections.begin(), host.connections.end(),
+                         [](const auto& c) { return c->closedByPeer; });
+    }));
+    for (int i = 0; i < 2; ++i) {
+      sendOne();
+      EXPECT_EQ(reached.back(), freed) << "all the others hold about two";
+    }
+  }
+}
+
 TEST_F(GatewayTest, KeyedThatMayHaveRunStaysInItsZone) {
   const Script script = first([](PeerConnection& c) { c.reset(); });
   for (const char* zone : {"a", "a", "b", "b"}) addHost(zone, script);
