--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -183,10 +183,12 @@
     if (parser_->chunked() && std::distance(head.begin(), head.end()) != static_cast<long>(scanner_.fields()))
       return reject(http::status::bad_request);
     keepAlive_ = parser_->get().keep_alive();
+    const bool first = state_ == State::fresh;
     ClientRequest request{exchange_ = ++server_->lastExchange_, parser_->release(), begunAt_};
     become(State::waiting);
     server_->waiting_.emplace(exchange_, shared_from_this());
     if (buffer_.size() == 0) arm();
+    if (first) server_->keepRoom();
     server_->callbacks_.request(std::move(request));
   }
 
@@ -310,6 +312,17 @@
   return closeOneOf(State::idle, now) || closeOneOf(State::fresh, now - kSettle, true);
 }
 
+// Danger: whoever is before the clients lets only so many connections through, and what finds no room there
+// is turned away without our seeing anything: clients that ask once and keep their connection stand in the
+// way of all the others. So room is made before it is needed, by the connection that was not used for the
+// longest time. It guards as well against clients that forget to close. It could do harm to many clients that
+// each ask seldom: they connect anew, and one that asks in this moment has to ask once more.
+void ClientServer::keepRoom() {
+  const std::size_t asked = queue(State::idle).size() + queue(State::begun).size() +
+                            queue(State::waiting).size() + queue(State::writing).size();
+  if (asked > limits_.kept) closeOneOf(State::idle, Clock::now());
+}
+
 // The first of a queue's oldest that is silent, or also one with half a request.
 bool ClientServer::closeOneOf(State state, Clock::time_point before, bool half) {
   std::size_t looked = 0;
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -29,6 +29,7 @@
  public:
   struct Limits {
     std::size_t connections = 640;
+    std::size_t kept = 640;            // that have asked something; past it the longest idle is closed
     std::size_t bodyBytes = 16 << 20;  // announced by the requests under way, all together
     // A request must be whole so long after its first byte, the first one so long after connecting: a client
     // that says nothing or half a thing is owed an end within three seconds.
@@ -66,6 +67,7 @@
   bool takeWaiting(std::size_t most);
   void admit(boost::asio::ip::tcp::socket socket);
   bool makeRoom();
+  void keepRoom();
   bool closeOneOf(State state, std::chrono::steady_clock::time_point before, bool half = false);
   void ended();
   Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -32,6 +32,10 @@
 constexpr Time kClockStart = std::chrono::hours(24);
 // Of the memory, for bodies of requests: each may be held three times, and its answer beside it.
 constexpr std::size_t kBodyPart = 8;
+// Clients have a third of the descriptors at most for requests; so much of that third is kept by those that
+// have asked, and a quarter is free for those that come.
+constexpr std::size_t kClientPart = 3;
+constexpr std::size_t kKeptNum = 3, kKeptDen = 4;
 // Of the descriptors: listener, discovery, event loop, standard streams and what the libraries open.
 constexpr std::size_t kOwnDescriptors = 32;
 
@@ -98,6 +102,7 @@
 
 ClientServer::Limits clientLimits(const Config& config, ClientServer::Limits waits) {
   waits.connections = std::min(waits.connections, shareOf(config.sockets, 3, 5));
+  waits.kept = std::min(waits.kept, config.sockets / kClientPart * kKeptNum / kKeptDen);
   waits.bodyBytes = std::min(waits.bodyBytes, (config.memoryMb << 20) / kBodyPart);
   return waits;
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -553,6 +553,28 @@
   EXPECT_TRUE(until([&] { return usual->answers.size() == 2; }));
 }
 
+TEST_F(GatewayTest, ClientsThatAskOnceAndStayLeaveRoomBeforeItIsNeeded) {
+  config["limits"]["sockets"] = 96;  // 38 clients at most, 24 that have asked
+  addHost("a", always(answerText(200, "", "x")));
+  start();
+  std::vector<std::shared_ptr<Client>> stay;
+  const auto used = client();
+  for (std::size_t i = 0; i < 30; ++i) {
+    stay.push_back(client());
+    for (const auto& c : {stay.back(), used}) {
+      const std::size_t before = c->answers.size();
+      c->send(text("read"));
+      ASSERT_TRUE(until([&] { return c->answers.size() > before; }));
+    }
+  }
+  EXPECT_TRUE(until([&] {
+    return std::count_if(stay.begin(), stay.end(), [](const auto& c) { return c->closedByPeer; }) == 31 - 24;
+  }));
+  EXPECT_TRUE(stay.front()->closedByPeer);
+  EXPECT_FALSE(stay.back()->closedByPeer);
+  EXPECT_FALSE(used->closedByPeer) << "the one that asks again and again is not the longest idle";
+}
+
 TEST_F(GatewayTest, IdleClientsMakeRoomForNewOnes) {
   waits.clients.connections = 4;
   twoHosts(always(answerText(200, "", "ok")));
