Test of the room for clients: an idle limit that can't end them instead

As committed before, the test passed without the mend too, after 15 s: the idle limit closed the first clients one by one and the count was met in passing. Seen fail now with the call taken out (waited in vain for 60 s).

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -555,6 +555,7 @@
 
 TEST_F(GatewayTest, ClientsThatAskOnceAndStayLeaveRoomBeforeItIsNeeded) {
   config["limits"]["sockets"] = 96;  // 38 clients at most, 24 that have asked
+  waits.clients.idle = std::chrono::minutes(10);
   addHost("a", always(answerText(200, "", "x")));
   start();
   std::vector<std::shared_ptr<Client>> stay;
