The usual time of a first try is where most lie; a refusal after attempts says when to come back

Checked and ruled out by the same probe: the in-flight maximum (32, never reached), hopeless(), no host, no token, and the connections' rest. To blame: the running median of the time left in onRequest(). Once later tries are the more, it lies at what is left of those, first ones are not the usual ones any more, all before them is taken for spent, their aim is over, and refusing them makes more later tries. Mended: the place where most times lie (first tries give one time, what is left of later ones scatters). The random rules test read the clock up to 10 ms late against a step of 5: its driver wakes the module in every step now. Three tests fail without.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -106,6 +106,8 @@
 constexpr double kColdPart = 0.45;   // load of a cold host, as a part of the multiple that fells it
 constexpr double kCopyNorms = 2.5;   // a second copy after so many usual times
 constexpr double kLeftApart = 0.02;  // of the client's total wait: times closer than this are the same
+constexpr double kAfterLeast =
+    0.1;  // of the longest retry-after: also the highest score stays away for a bit
 constexpr double kRetryShare = 0.3;  // resends per new request
 constexpr double kRetrySaved = 3;    // resends that may be saved up, beyond those of a second
 
@@ -155,14 +157,14 @@
 
   Impl(Settings s, Time t) : set(std::move(s)), engine(set.seed), now(t), started(t), nextSweep(t + kSweep) {
     for (const ClassSettings& c : set.classes) {
-      classes.push_back({c, 0, 0, {}});
+      classes.push_back({c});
       meanAim += toSeconds(c.aim) / static_cast<double>(set.classes.size());
     }
     ClassSettings unknown = set.classes.front();  // what nobody described: never repeated, lowest worth
     unknown.name = "unknown";
     unknown.effect = Effect::fragile;
     unknown.worth = 0;
-    classes.push_back({unknown, 0, 0, {}});
+    classes.push_back({unknown});
     quotaTokens.assign(set.tenants.size(), 0);
     quotaAt = t;
   }
@@ -617,10 +619,19 @@
     for (std::uint32_t i = 0; i < r.count; ++i) mayHaveRun |= r.tries[i].mayHaveRun;
     const bool harmless = !mayHaveRun || c.effect == Effect::retryable ||
                           (c.effect == Effect::dedup && c.group == Group::all && r.out == 0);
-    emit(harmless ? ActionKind::refuse : ActionKind::fail, r.id);
+    if (harmless) refuse(r);
+    else emit(ActionKind::fail, r.id);
     end(r);
   }
 
+  // Retry-after lengthens as the score falls; jittered, or they would all come due together.
+  void refuse(const Open& r) {
+    Duration after{};
+    if (set.retryAfter)
+      after = scaled(set.maxRetryAfter, std::max(1 - r.score / 100, kAfterLeast) * (0.5 + 0.5 * drawUnit()));
+    emit(ActionKind::refuse, r.id, 0, kNone, after);
+  }
+
   void end(Open& r) {
     r.ended = true;
     cancelOut(r);
@@ -736,12 +747,16 @@
     r.hasKey = q.hasKey;
     r.deadline = now + q.left;
     // Clients give single tries the same time, and a later one what is left of their total wait. A try whose
-    // time is not the usual one (a running median) tells how much was spent before; that no longer earns.
-    if (c.usualLeft == Duration{}) c.usualLeft = q.left;
+    // time is not the usual one tells how much was spent before; that no longer earns. Danger: by a median,
+    // once later tries are the more, first ones look unusual, are refused as late and asked again, and the
+    // jam keeps itself up. But the times of first tries lie in one place and what is left of later ones
+    // scatters, so the usual time is where most lie. It could do harm where clients give many different
+    // times.
     const Duration apart = scaled(c.set.giveUp, kLeftApart);
+    const std::size_t place = c.noteLeft(toSeconds(q.left) / std::max(toSeconds(apart), 1e-9));
+    if (place == c.usualPlace) c.usualLeft = q.left;
     const bool usual = q.left > c.usualLeft - apart && q.left < c.usualLeft + apart;
     const Duration spent = usual ? Duration{} : std::max(c.set.giveUp - q.left, Duration{});
-    c.usualLeft += q.left < c.usualLeft ? -apart / 8 : apart / 8;
     r.aimAt = now - spent + c.set.aim + scaled(q.cost, c.set.aimStretch);
     // Where late answers still earn, the time that counts reaches past the aim by that share.
     const Duration late = scaled(std::min(c.usualLeft - c.set.aim, c.set.aim), c.set.lateShare);
@@ -749,14 +764,11 @@
     if (c.norm > 0) meanWork += (meanWork > 0 ? kNormGain : 1.0) * (c.norm * r.cost - meanWork);
     asked += 1;
     retryTokens = std::min(retryTokens + kRetryShare, kRetrySaved + kRetryShare * askedRate);
-    const double score = scoreOf(worthOf(r, q.tenantIndex));
+    const double score = r.score = scoreOf(worthOf(r, q.tenantIndex));
     smoothHeld += (heldNow() - smoothHeld) * kHeldGain * std::sqrt(evidence());
     renewCut();
     if (score < cut) {
-      // Retry-after lengthens as the score falls; jittered, or they would all come due together.
-      Duration after{};
-      if (set.retryAfter) after = scaled(set.maxRetryAfter, (1 - score / 100) * (0.5 + 0.5 * drawUnit()));
-      emit(ActionKind::refuse, r.id, 0, kNone, after);
+      refuse(r);
       end(r);
     } else if (inTurn(r)) {
       enqueue(r, slot);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -89,7 +89,8 @@
   std::uint32_t generation = 0;
   std::uint32_t cls = kNone;
   Time deadline{}, aimAt{};
-  double cost = 0;  // against the class's mean
+  double cost = 0;   // against the class's mean
+  double score = 0;  // 1 to 100
   std::uint64_t key = 0;
   bool hasKey = false, live = false, ended = false, bound = false;
   std::array<Try, kTries> tries;
@@ -112,8 +113,22 @@
   ClassSettings set;
   double norm = 0;      // seconds; zero until the first answer
   double meanCost = 0;  // seconds, of the hints
+  double fails = 0;     // share of failed attempts, over all hosts
   Duration usualLeft{};
-  double fails = 0;  // share of failed attempts, over all hosts
+  std::size_t usualPlace = 0;
+  std::array<double, 64> leftSeen{};  // requests by the time they had, faded: over the last fifty
+
+  // Where the time of this one lies, in steps; of places with as many, the later is the usual one.
+  std::size_t noteLeft(double steps) {
+    const double last = static_cast<double>(leftSeen.size() - 1);
+    const auto place = static_cast<std::size_t>(std::clamp(steps, 0.0, last));
+    for (double& seen : leftSeen) seen *= 0.98;
+    leftSeen[place] += 1;
+    const auto fullest =
+        std::max_element(leftSeen.rbegin(), leftSeen.rend(), [](double a, double b) { return a < 0.9 * b; });
+    usualPlace = static_cast<std::size_t>(leftSeen.rend() - fullest) - 1;
+    return place;
+  }
 };
 
 struct Turn {  // of one key: who waits, in order of arrival; the first one has the turn
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -415,6 +415,36 @@
   EXPECT_EQ(ask(text("read")).body(), "on");
 }
 
+TEST_F(GatewayTest, ARefusalAfterFailedAttemptsCarriesRetryAfter) {
+  config["settings"]["ceilings"]["retryAfter"] = true;
+  twoHosts(always(answerText(503, kNotRun, "")));
+  const Response r = ask(text("write"));
+  EXPECT_EQ(r.result_int(), 503u);
+  EXPECT_EQ(r.count("Retry-After"), 1u);
+  EXPECT_FALSE(reached.empty());
+}
+
+TEST_F(GatewayTest, ManyLaterTriesDoNotMakeFirstOnesLookLate) {
+  // A try has 14 s of the client's 20 s, a later one what is left. One whose aim is over is refused unsent.
+  config["settings"]["grades"][0]["aimNs"] = 5'000'000'000;
+  addHost("a", always(answerText(200, "", "x")));
+  start();
+  const std::string firstTry = "X-Deadline-Ms: 14000\r\n";
+  EXPECT_EQ(ask(text("read", firstTry)).result_int(), 200u);
+  for (int i = 0; i < 60; ++i) {
+    const std::string left = "X-Deadline-Ms: " + std::to_string(800 + 400 * (i * 7 % 28)) + "\r\n";
+    EXPECT_EQ(ask(text("read", i % 4 == 3 ? firstTry : left)).result_int(), i % 4 == 3 ? 200u : 503u) << i;
+  }
+}
+
+TEST_F(GatewayTest, AfterAStartWithALaterTryFirstOnesAreServed) {
+  config["settings"]["grades"][0]["aimNs"] = 5'000'000'000;
+  addHost("a", always(answerText(200, "", "x")));
+  start();
+  ask(text("read", "X-Deadline-Ms: 2000\r\n"));
+  EXPECT_EQ(ask(text("read", "X-Deadline-Ms: 14000\r\n")).result_int(), 200u);
+}
+
 TEST_F(GatewayTest, RefusalsOfAnOverloadCarryRetryAfter) {
   config["settings"]["ceilings"]["retryAfter"] = true;
   addHost("a", [](PeerConnection&, std::size_t) {});
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -566,10 +566,8 @@
       if (it->second.over && !outNow) it = seen.erase(it);
       else ++it;
     }
-    if (what != 9) {
-      b.onWake(now);
-      check();
-    }
+    b.onWake(now);  // in every step: settings.step says that the clock is read no later than that
+    check();
     if (::testing::Test::HasFailure()) break;
   }
   return trace;
