Core engine of its own: calls, attempts and the one final answer, with no HTTP in it

Change: src/core/engine holds calls and enforces one final answer and no overlap of attempts; src/http is a front and an upstream on it, src/discovery, src/config and src/app follow the layout. A message is plain text fields in one piece, where Beast's message was copied field by field for each attempt. A request with no Host is sent on with the host's address as one.

--- /dev/null
+++ b/src/app/gateway.cpp
@@ -0,0 +1,152 @@
+// One gateway: puts the engine, the fronts, the upstream and discovery together.
+#include "app/gateway.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "http/upstream.hpp"
+
+namespace cairnjunction {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using ochrehill::HostId;
+using ochrehill::ListKind;
+using ochrehill::Phase;
+using ochrehill::Time;
+using Clock = std::chrono::steady_clock;
+
+// The module's clock at our start: hosts that started up to a day before have a time of their own on it.
+constexpr Time kClockStart = std::chrono::hours(24);
+// Of the memory, for bodies of requests: each may be held three times, and its answer beside it.
+constexpr std::size_t kBodyPart = 8;
+// Clients have a third of the descriptors at most for requests; so much of that third is kept by those that
+// have asked, and a quarter is free for those that come.
+constexpr std::size_t kClientPart = 3;
+constexpr std::size_t kKeptNum = 3, kKeptDen = 4;
+// Of the descriptors: listener, discovery, event loop, standard streams and what the libraries open.
+constexpr std::size_t kOwnDescriptors = 32;
+
+std::size_t shareOf(std::size_t sockets, std::size_t part, std::size_t of) {
+  return (sockets - kOwnDescriptors) * part / of;
+}
+
+HttpUpstream::Limits hostLimits(const Config& config) {
+  return {shareOf(config.sockets, 2, 5), config.connectTimeout, config.module.idleClose};
+}
+
+HttpServer::Limits clientLimits(const Config& config, HttpServer::Limits waits) {
+  waits.connections = std::min(waits.connections, shareOf(config.sockets, 3, 5));
+  waits.kept = std::min(waits.kept, config.sockets / kClientPart * kKeptNum / kKeptDen);
+  waits.bodyBytes = std::min(waits.bodyBytes, (config.memoryMb << 20) / kBodyPart);
+  return waits;
+}
+
+}  // namespace
+
+Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits,
+                 std::function<void(std::string)> log)
+    : io_(io),
+      start_(Clock::now()),
+      unixStart_(std::chrono::system_clock::now()),
+      settings_(config.module),
+      waits_(waits),
+      log_(std::move(log)),
+      upstream_(makeUpstream(config)),
+      engine_(settings_, *this, *upstream_),
+      discovery_(
+          io, config.discovery,
+          {[this](const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); },
+           [this] { engine_.tellHosts(ListKind::unavailable, {}); }},
+          waits.discovery),
+      waker_(io),
+      drainTimer_(io),
+      http_(io, config.listen, clientLimits(config, waits.clients), settings_, engine_,
+            [this] { return ready_ && !draining_; }) {
+  if (config.known) discovery_.knows(config.known->version);
+  // The module asks discovery once it was given a list, an empty one too.
+  told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
+}
+
+Gateway::~Gateway() {
+  upstream_->stop();
+  discovery_.stop();
+}
+
+std::unique_ptr<HostUpstream> Gateway::makeUpstream(const Config& config) {
+  return std::make_unique<HttpUpstream>(io_, hostLimits(config),
+                                        [this](AttemptEnd end) { engine_.attemptEnded(std::move(end)); });
+}
+
+// --- Clock ----------------------------------------------------------------------------------------------
+
+Time Gateway::now() const { return kClockStart + (Clock::now() - start_); }
+
+// By one offset for good: the module takes a host whose start moved for a new process.
+Time Gateway::moduleTime(std::int64_t unixMs) const {
+  if (unixMs <= 0) return Time{};
+  const Time at = kClockStart + (std::chrono::milliseconds(unixMs) - unixStart_.time_since_epoch());
+  return std::max(at, Time{});
+}
+
+void Gateway::wakeAt(Time at) {
+  wakeAt_ = at;
+  waker_.expires_at(start_ + (at - kClockStart));
+  waker_.async_wait([this](error_code ec) {
+    if (!ec && now() >= wakeAt_) engine_.wake();
+  });
+}
+
+// --- Hosts ----------------------------------------------------------------------------------------------
+
+void Gateway::told(const HostList& list, ListKind kind) {
+  std::vector<ochrehill::HostEntry> entries;
+  for (const ListedHost& host : list.hosts) {
+    ochrehill::HostEntry e;
+    // The uid names a host to the module: it is the same at all gateways, and outlives a new address.
+    e.address = host.uid;
+    e.zone = host.zone;
+    e.kind = host.kind;
+    e.cell = host.cell;
+    e.weight = host.weight;
+    e.upSince = moduleTime(host.bootMs);
+    e.phase = host.state == HostState::serving    ? Phase::in
+              : host.state == HostState::draining ? Phase::draining
+                                                  : Phase::out;
+    entries.push_back(std::move(e));
+  }
+  const auto byAddress = [&] {
+    if (kind != ListKind::update) upstream_->unlistAll();
+    for (const ListedHost& host : list.hosts)
+      if (const HostId id = engine_.findHost(host.uid); id != ochrehill::kNone)
+        upstream_->list(id, host.endpoint, host.state == HostState::serving);
+  };
+  engine_.tellHosts(kind, entries, byAddress);
+  ready_ = ready_ || !list.hosts.empty() || kind != ListKind::restored;
+}
+
+// --- Reload and drain -----------------------------------------------------------------------------------
+
+// The listener and the module's settings stay as they are until a restart: answers are owed by them.
+void Gateway::reload(const Config& config) {
+  discovery_.moveTo(config.discovery);
+  static_cast<HttpUpstream&>(*upstream_).setLimits(hostLimits(config));
+  http_.server().setLimits(clientLimits(config, waits_.clients));
+}
+
+void Gateway::drain(std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  drained_ = std::move(done);
+  http_.server().lastAnswers();
+  drainTimer_.expires_after(kAcceptOn);
+  drainTimer_.async_wait([this](error_code ec) {
+    if (ec) return;
+    http_.server().onEmpty = [this] { drained_(); };
+    http_.server().stopAccepting();
+  });
+}
+
+}  // namespace cairnjunction
--- /dev/null
+++ b/src/app/gateway.hpp
@@ -0,0 +1,73 @@
+// One gateway: puts the engine, the fronts, the upstream and discovery together, on one event loop.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "config/config.hpp"
+#include "core/engine.hpp"
+#include "core/margin.hpp"
+#include "discovery/discovery.hpp"
+#include "http/front.hpp"
+#include "ochrehill/ochrehill.hpp"
+#include "upstream/host_upstream.hpp"
+
+namespace cairnjunction {
+
+// After a stop was asked for, connections are still accepted for so long: clients hear of it late.
+inline constexpr std::chrono::milliseconds kAcceptOn{700};
+
+class Gateway final : private Runtime {
+ public:
+  struct Waits {  // shorter in tests only
+    HttpServer::Limits clients;
+    Discovery::Waits discovery;
+  };
+
+  // Listens and asks discovery at once. Throws boost::system::system_error if it can't listen.
+  Gateway(boost::asio::io_context& io, const Config& config, Waits waits,
+          std::function<void(std::string)> log);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  boost::asio::ip::tcp::endpoint listening() const { return http_.server().listening(); }
+  // A new configuration: its discovery and limits hold from now on. What is under way goes on.
+  void reload(const Config& config);
+  std::size_t openRequests() const { return engine_.openCalls(); }
+  std::size_t hosts() const { return upstream_->hosts(); }
+  std::size_t connections() const { return http_.server().connections() + upstream_->connections(); }
+  // Finishes what was taken, then closes all and calls `done`.
+  void drain(std::function<void()> done);
+
+ private:
+  ochrehill::Time now() const override;
+  void wakeAt(ochrehill::Time at) override;
+  void subscribe() override { discovery_.watch(); }
+  void log(const std::string& line) override { log_(line); }
+
+  ochrehill::Time moduleTime(std::int64_t unixMs) const;
+  void told(const HostList& list, ochrehill::ListKind kind);
+  std::unique_ptr<HostUpstream> makeUpstream(const Config& config);
+
+  boost::asio::io_context& io_;
+  std::chrono::steady_clock::time_point start_;
+  std::chrono::system_clock::time_point unixStart_;
+  ochrehill::Settings settings_;
+  Waits waits_;
+  std::function<void(std::string)> log_;
+  std::unique_ptr<HostUpstream> upstream_;
+  Engine engine_;
+  Discovery discovery_;
+  boost::asio::steady_timer waker_, drainTimer_;
+  ochrehill::Time wakeAt_{};
+  std::function<void()> drained_;
+  bool ready_ = false, draining_ = false;
+  HttpFront http_;  // the fronts last: they may hand over calls from here on
+};
+
+}  // namespace cairnjunction
--- a/src/main.cpp
+++ b/src/app/main.cpp
@@ -6,8 +6,8 @@
 #include <exception>
 #include <iostream>
 
-#include "net/config.hpp"
-#include "net/gateway.hpp"
+#include "app/gateway.hpp"
+#include "config/config.hpp"
 
 namespace {
 
--- a/src/net/config.cpp
+++ b/src/config/config.cpp
@@ -1,4 +1,4 @@
-#include "net/config.hpp"
+#include "config/config.hpp"
 
 #include <charconv>
 #include <fstream>
@@ -77,7 +77,6 @@
   s.liveWeights = weights == "live";
   read(part(settings, "domain"), "warmKeys", s.warmKeys);
   const json& ceilings = part(settings, "ceilings");
-  read(ceilings, "parallelTries", s.parallelTries);
   read(ceilings, "retryAfter", s.retryAfter);
   read(ceilings, "cancel", s.cancel);
   read(ceilings, "maxAttempts", s.maxAttempts);
--- a/src/net/config.hpp
+++ b/src/config/config.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <string_view>
 
-#include "net/host_list.hpp"
+#include "discovery/host_list.hpp"
 #include "ochrehill/ochrehill.hpp"
 
 namespace cairnjunction {
--- /dev/null
+++ b/src/core/call.hpp
@@ -0,0 +1,76 @@
+// Calls, attempts and replies, and the two interfaces between the engine and the protocols: a front hands
+// calls in and is given their replies; an upstream carries attempts and tells how they ended.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/message.hpp"
+#include "ochrehill/ochrehill.hpp"
+
+namespace cairnjunction {
+
+using CallId = ochrehill::RequestId;  // given out by the engine; never used again
+
+struct Call {
+  std::string name;          // as workers are told it; no two open calls have the same
+  std::string key;           // by which workers drop repeats; empty: none
+  ochrehill::Request facts;  // for the decisions; its id is the engine's to set
+  Message message;
+};
+
+enum class Verdict {
+  served,   // the message is the worker's answer to this call
+  refused,  // the same call again does no harm
+  failed    // nothing is promised: it may have run
+};
+
+struct Reply {
+  Verdict verdict = Verdict::failed;
+  Message message;                   // whole, with Verdict::served
+  ochrehill::Duration retryAfter{};  // with Verdict::refused; 0 = nothing to say
+};
+
+// The front's end. `ticket` is what the front gave when it handed the call in. Called once for each call that
+// was taken and not abandoned, perhaps from within Engine::take.
+class ReplySink {
+ public:
+  virtual void onReply(std::uint64_t ticket, Reply reply) = 0;
+
+ protected:
+  ~ReplySink() = default;
+};
+
+struct AttemptKey {
+  CallId call = 0;
+  std::uint32_t attempt = 0;
+  bool operator==(const AttemptKey&) const = default;
+};
+
+struct AttemptKeyHash {
+  std::size_t operator()(const AttemptKey& k) const {
+    return std::hash<std::uint64_t>{}(k.call * 16 + k.attempt);
+  }
+};
+
+struct AttemptEnd {
+  AttemptKey key;
+  ochrehill::HostId host = ochrehill::kNone;
+  ochrehill::Outcome outcome = ochrehill::Outcome::reset;
+  ochrehill::Duration taken{};
+  Message answer;  // whole, with Outcome::served
+};
+
+// Carries out what it is told and sends nothing again by itself. Each attempt that was started ends exactly
+// once, by a call of the function that the upstream was made with, perhaps from within start() or cancel().
+class Upstream {
+ public:
+  virtual ~Upstream() = default;
+  // `call` is valid only during this function. `limit` > 0: the attempt ends by Outcome::timeout then.
+  virtual void start(AttemptKey key, ochrehill::HostId host, const Call& call, ochrehill::Duration limit) = 0;
+  virtual void cancel(AttemptKey key) = 0;
+  virtual void closeIdle(ochrehill::HostId host) = 0;
+  virtual void forget(ochrehill::HostId host) = 0;  // gone, with no attempt out: its id may be given out anew
+};
+
+}  // namespace cairnjunction
--- /dev/null
+++ b/src/core/engine.cpp
@@ -0,0 +1,162 @@
+// Open calls, their attempts and the one final answer.
+#include "core/engine.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cairnjunction {
+
+using ochrehill::Action;
+using ochrehill::ActionKind;
+using ochrehill::Duration;
+using ochrehill::Outcome;
+using ochrehill::Time;
+
+Engine::Engine(const ochrehill::Settings& settings, Runtime& runtime, Upstream& upstream)
+    : runtime_(runtime), upstream_(upstream), balancer_(settings, runtime.now()) {}
+
+// --- Events -------------------------------------------------------------------------------------------
+
+Engine::Taken Engine::take(Call call, ReplySink& sink, std::uint64_t ticket, CallId* id) {
+  if (names_.contains(call.name)) return Taken::nameInUse;
+  const Time now = runtime_.now();
+  const CallId mine = ++lastCall_;
+  if (id) *id = mine;
+  call.facts.id = mine;
+  Open& open = calls_[mine];
+  open.call = std::move(call);
+  open.sink = &sink;
+  open.ticket = ticket;
+  open.deadline = now + open.call.facts.left;
+  names_.insert(open.call.name);
+  balancer_.onRequest(now, open.call.facts);
+  run();
+  return Taken::yes;
+}
+
+void Engine::abandon(CallId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end() || it->second.ended) return;
+  it->second.ended = true;
+  over_.push_back(id);
+  balancer_.onClientGone(runtime_.now(), id);
+  run();
+}
+
+void Engine::attemptEnded(AttemptEnd end) {
+  ends_.push_back(std::move(end));
+  run();
+}
+
+void Engine::tellHosts(ochrehill::ListKind kind, const std::vector<ochrehill::HostEntry>& entries,
+                       const std::function<void()>& before) {
+  balancer_.onHosts(runtime_.now(), kind, entries);
+  if (before) before();
+  run();
+}
+
+void Engine::wake() {
+  wakeAt_ = Time{};
+  balancer_.onWake(runtime_.now());
+  run();
+}
+
+void Engine::settle(AttemptEnd end) {
+  const auto it = calls_.find(end.key.call);
+  if (it == calls_.end() || it->second.out == 0) return;
+  Open& open = it->second;
+  --open.out;
+  over_.push_back(end.key.call);
+  ochrehill::AttemptResult result;
+  result.request = end.key.call;
+  result.attempt = end.key.attempt;
+  result.host = end.host;
+  result.outcome = end.outcome;
+  result.taken = end.taken;
+  if (end.outcome == Outcome::served && !open.ended)
+    reply(end.key.call, open, {Verdict::served, std::move(end.answer), {}});
+  result.terminal = open.ended;
+  balancer_.onResult(runtime_.now(), result);
+}
+
+// --- Actions ------------------------------------------------------------------------------------------
+
+// Carries out all actions in their order, with those that their own results raise. An action that ends an
+// attempt at once must not feed the module while its earlier actions are still to be done.
+void Engine::run() {
+  if (carrying_) return;
+  carrying_ = true;
+  for (;;) {
+    actions_.clear();
+    actions_.swap(balancer_.actions());
+    for (const Action& action : actions_) carryOut(action);
+    if (!balancer_.actions().empty()) continue;
+    dropOver();
+    if (ends_.empty()) break;
+    AttemptEnd end = std::move(ends_.front());
+    ends_.pop_front();
+    settle(std::move(end));
+  }
+  carrying_ = false;
+}
+
+// Only after all actions that name them are done.
+void Engine::dropOver() {
+  for (const CallId id : over_) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || !it->second.ended || it->second.out > 0) continue;
+    names_.erase(it->second.call.name);
+    calls_.erase(it);
+  }
+  over_.clear();
+}
+
+void Engine::carryOut(const Action& action) {
+  switch (action.kind) {
+    case ActionKind::send: return send(action);
+    case ActionKind::refuse:
+    case ActionKind::fail: return giveUp(action);
+    case ActionKind::cancel: return upstream_.cancel({action.request, action.attempt});
+    case ActionKind::close: return upstream_.closeIdle(action.host);
+    case ActionKind::forget: return upstream_.forget(action.host);
+    case ActionKind::wake:
+      // Only the earliest wake counts: the module asks anew at each event for the next.
+      if (wakeAt_ > Time{} && wakeAt_ <= action.span) return;
+      wakeAt_ = action.span;
+      return runtime_.wakeAt(action.span);
+    case ActionKind::subscribe: return runtime_.subscribe();
+    case ActionKind::log: return runtime_.log(action.text);
+  }
+}
+
+void Engine::send(const Action& action) {
+  const auto it = calls_.find(action.request);
+  if (it == calls_.end()) return;
+  Open& open = it->second;
+  const Duration left = open.deadline - runtime_.now();
+  if (open.ended || open.out > 0 || left <= Duration{}) {
+    // Danger: carried out, it would run a call beside itself or for nobody. Told as not sent, it is settled.
+    ++violations_;
+    ++open.out;
+    ends_.push_back({{action.request, action.attempt}, action.host, Outcome::moot, {}, {}});
+    return;
+  }
+  ++open.out;
+  upstream_.start({action.request, action.attempt}, action.host, open.call, std::min(action.span, left));
+}
+
+void Engine::giveUp(const Action& action) {
+  const auto it = calls_.find(action.request);
+  if (it == calls_.end() || it->second.ended) return;
+  const bool refused = action.kind == ActionKind::refuse;
+  reply(action.request, it->second,
+        {refused ? Verdict::refused : Verdict::failed, {}, refused ? action.span : Duration{}});
+}
+
+void Engine::reply(CallId id, Open& open, Reply reply) {
+  open.ended = true;
+  over_.push_back(id);
+  open.sink->onReply(open.ticket, std::move(reply));
+}
+
+}  // namespace cairnjunction
--- /dev/null
+++ b/src/core/engine.hpp
@@ -0,0 +1,95 @@
+// The engine: open calls, their attempts and the one final answer. It feeds the decision module with what
+// happens and carries out what the module decides. It knows no protocol, does no I/O and reads no clock but
+// the one that it is given, so a test may run it in a time of its own.
+//
+// Two rules are enforced here, whatever the module, a front or an upstream does:
+//  - one final answer: a call that was taken gets one reply, or none once its front has abandoned it;
+//  - no attempts overlap: an attempt is started only when the one before it has ended, before the call's
+//    time is up and before the call has its reply.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/call.hpp"
+#include "ochrehill/ochrehill.hpp"
+
+namespace cairnjunction {
+
+// What the engine needs of the program around it.
+class Runtime {
+ public:
+  virtual ochrehill::Time now() const = 0;        // never goes back
+  virtual void wakeAt(ochrehill::Time at) = 0;    // Engine::wake is to be called then; replaces the last
+  virtual void subscribe() = 0;                   // the list of hosts is to be asked for
+  virtual void log(const std::string& line) = 0;  // a line of the module's
+
+ protected:
+  ~Runtime() = default;
+};
+
+class Engine {
+ public:
+  enum class Taken {
+    yes,
+    nameInUse  // an open call has this name: passed on, it would be a second copy of that one to the workers
+  };
+
+  // All three must outlive the engine. Throws std::invalid_argument on settings that make no sense.
+  Engine(const ochrehill::Settings& settings, Runtime& runtime, Upstream& upstream);
+
+  // `call.facts.left` counts from now. With Taken::yes `sink` is given the reply, perhaps before this
+  // returns; `id`, if given, is set before that.
+  Taken take(Call call, ReplySink& sink, std::uint64_t ticket, CallId* id = nullptr);
+  void abandon(CallId id);            // its client left: no reply is wanted; a call that is over is ignored
+  void attemptEnded(AttemptEnd end);  // from the upstream
+  // `before` runs once the module knows the hosts and before its actions are carried out: the upstream is to
+  // learn there which of them is where.
+  void tellHosts(ochrehill::ListKind kind, const std::vector<ochrehill::HostEntry>& entries,
+                 const std::function<void()>& before = nullptr);
+  void wake();
+
+  ochrehill::HostId findHost(std::string_view address) const { return balancer_.findHost(address); }
+  std::size_t openCalls() const { return calls_.size(); }   // also those whose attempt is not over yet
+  std::uint64_t violations() const { return violations_; }  // actions that would have broken a rule; want 0
+
+ private:
+  struct Open {
+    Call call;
+    ReplySink* sink = nullptr;
+    std::uint64_t ticket = 0;
+    ochrehill::Time deadline{};
+    std::uint32_t out = 0;  // attempts
+    bool ended = false;     // replied to, or abandoned
+  };
+
+  void run();
+  void carryOut(const ochrehill::Action& action);
+  void send(const ochrehill::Action& action);
+  void giveUp(const ochrehill::Action& action);
+  void settle(AttemptEnd end);
+  void reply(CallId id, Open& open, Reply reply);
+  void dropOver();
+
+  Runtime& runtime_;
+  Upstream& upstream_;
+  ochrehill::Balancer balancer_;
+  std::unordered_map<CallId, Open> calls_;
+  std::unordered_set<std::string_view> names_;  // of calls_, which hold the text
+  std::vector<CallId> over_;                    // may be dropped once the actions are done
+  std::deque<AttemptEnd> ends_;                 // raised while actions are carried out
+  std::vector<ochrehill::Action> actions_;      // being carried out; kept for its memory
+  ochrehill::Time wakeAt_{};
+  CallId lastCall_ = 0;
+  std::uint64_t violations_ = 0;
+  bool carrying_ = false;
+};
+
+}  // namespace cairnjunction
--- a/src/net/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -1,4 +1,4 @@
-#include "net/discovery.hpp"
+#include "discovery/discovery.hpp"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
--- a/src/net/discovery.hpp
+++ b/src/discovery/discovery.hpp
@@ -14,7 +14,7 @@
 #include <memory>
 #include <optional>
 
-#include "net/host_list.hpp"
+#include "discovery/host_list.hpp"
 
 namespace cairnjunction {
 
--- a/src/net/host_list.cpp
+++ b/src/discovery/host_list.cpp
@@ -1,4 +1,4 @@
-#include "net/host_list.hpp"
+#include "discovery/host_list.hpp"
 
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
--- a/src/net/framing.cpp
+++ b/src/http/framing.cpp
@@ -1,4 +1,4 @@
-#include "net/framing.hpp"
+#include "http/framing.hpp"
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
--- a/src/net/client_server.cpp
+++ b/src/http/server.cpp
@@ -1,17 +1,17 @@
-#include "net/client_server.hpp"
+#include "http/server.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/write.hpp>
 #include <iterator>
 #include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
 
-#include "net/framing.hpp"
+#include "http/framing.hpp"
 
 namespace cairnjunction {
 namespace {
@@ -33,34 +33,30 @@
 
 }  // namespace
 
-class ClientServer::Session : public std::enable_shared_from_this<Session> {
+class HttpServer::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(ClientServer& server, tcp::socket socket) : server_(&server), socket_(std::move(socket)) {
-    renew();
-  }
+  Session(HttpServer& server, tcp::socket socket) : server_(&server), socket_(std::move(socket)) { renew(); }
 
   void start(Queue::iterator place) {
     place_ = place;
     arm();
   }
 
-  void answer(HttpResponse response) {
+  void answer(HttpAnswer answer) {
     become(State::writing);
     exchange_ = 0;
-    response_ = std::move(response);
-    response_.version(11);
     // A client in error is left: the next it sends may be anything, and the same again costs as much.
     const bool keep = keepAlive_ && !server_->last_ &&
-                      http::to_status_class(response_.result()) != http::status_class::client_error;
-    response_.keep_alive(keep);
-    response_.prepare_payload();
-    http::async_write(socket_, response_, [self = shared_from_this(), keep](error_code ec, std::size_t) {
-      if (self->state_ != State::writing) return;
-      if (ec) return self->close();
-      self->response_ = {};
-      if (keep) self->next();
-      else self->linger();
-    });
+                      http::to_status_class(answer.status) != http::status_class::client_error;
+    response_ = wireText(answer, keep);
+    asio::async_write(socket_, asio::buffer(response_),
+                      [self = shared_from_this(), keep](error_code ec, std::size_t) {
+                        if (self->state_ != State::writing) return;
+                        if (ec) return self->close();
+                        self->response_ = {};
+                        if (keep) self->next();
+                        else self->linger();
+                      });
   }
 
   void close() {
@@ -194,10 +190,10 @@
 
   void reject(http::status status) {
     keepAlive_ = false;
-    HttpResponse response;
-    response.result(status);
-    if (status == http::status::service_unavailable) response.set(http::field::retry_after, "1");
-    answer(std::move(response));
+    HttpAnswer refusal;
+    refusal.status = status;
+    if (status == http::status::service_unavailable) refusal.fields.add("Retry-After", "1");
+    answer(std::move(refusal));
   }
 
   void gone() {
@@ -217,12 +213,12 @@
     arm();
   }
 
-  ClientServer* server_;
+  HttpServer* server_;
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kHeaderLimit + kBodyLimit};
   HeadScanner scanner_{HeadScanner::Kind::request};
   std::optional<http::request_parser<http::string_body>> parser_;
-  HttpResponse response_;
+  std::string response_;
   State state_ = State::fresh;
   Queue::iterator place_;
   ExchangeId exchange_ = 0;
@@ -231,8 +227,7 @@
   bool begun_ = false, headSeen_ = false, armed_ = false, keepAlive_ = false;
 };
 
-ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& listen, Limits limits,
-                           Callbacks callbacks)
+HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& listen, Limits limits, Callbacks callbacks)
     : io_(io),
       acceptor_(io, listen, true),
       limits_(limits),
@@ -244,7 +239,7 @@
   sweep();
 }
 
-ClientServer::~ClientServer() {
+HttpServer::~HttpServer() {
   onEmpty = nullptr;
   callbacks_.gone = [](ExchangeId) {};
   waiting_.clear();
@@ -252,15 +247,15 @@
     while (!sessions.empty()) sessions.front()->close();
 }
 
-void ClientServer::answer(ExchangeId exchange, HttpResponse response) {
+void HttpServer::answer(ExchangeId exchange, HttpAnswer answer) {
   const auto it = waiting_.find(exchange);
   if (it == waiting_.end()) return;
   const auto session = std::move(it->second);
   waiting_.erase(it);
-  session->answer(std::move(response));
+  session->answer(std::move(answer));
 }
 
-void ClientServer::accept() {
+void HttpServer::accept() {
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code ec) {
     if (ec || !acceptor_.is_open()) return;
     if (takeWaiting(kAcceptAtOnce)) return accept();
@@ -274,7 +269,7 @@
 
 // Takes what waits; false if there was no room for more. Danger: at the limit, room may be made only for
 // a connection that is there: an idle client is not sent away for nobody. So there may be one over it.
-bool ClientServer::takeWaiting(std::size_t most) {
+bool HttpServer::takeWaiting(std::size_t most) {
   for (std::size_t i = 0; i < most; ++i) {
     if (open_ > limits_.connections && !makeRoom()) return false;
     error_code ec;
@@ -290,7 +285,7 @@
   return true;
 }
 
-void ClientServer::admit(tcp::socket socket) {
+void HttpServer::admit(tcp::socket socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   socket.non_blocking(true, ignored);
@@ -304,7 +299,7 @@
 // between two requests, and last those whose first request is slow to come: they would lose it. Danger:
 // clients that connect by hundreds and say nothing would drive out all the usual ones; with so many of them,
 // new ones wait until the silent ones have had their time.
-bool ClientServer::makeRoom() {
+bool HttpServer::makeRoom() {
   const auto now = Clock::now();
   if (closeOneOf(State::lingering, now - kSettle) || closeOneOf(State::fresh, now - kSettle)) return true;
   if (queue(State::fresh).size() > limits_.connections / 2)
@@ -317,14 +312,14 @@
 // way of all the others. So room is made before it is needed, by the connection that was not used for the
 // longest time. It guards as well against clients that forget to close. It could do harm to many clients that
 // each ask seldom: they connect anew, and one that asks in this moment has to ask once more.
-void ClientServer::keepRoom() {
+void HttpServer::keepRoom() {
   const std::size_t asked = queue(State::idle).size() + queue(State::begun).size() +
                             queue(State::waiting).size() + queue(State::writing).size();
   if (asked > limits_.kept) closeOneOf(State::idle, Clock::now());
 }
 
 // The first of a queue's oldest that is silent, or also one with half a request.
-bool ClientServer::closeOneOf(State state, Clock::time_point before, bool half) {
+bool HttpServer::closeOneOf(State state, Clock::time_point before, bool half) {
   std::size_t looked = 0;
   for (const auto& session : queue(state)) {
     if (session->since() > before || ++looked > kLookAt) return false;
@@ -336,7 +331,7 @@
   return false;
 }
 
-void ClientServer::ended() {
+void HttpServer::ended() {
   --open_;
   if (open_ == 0 && !acceptor_.is_open() && onEmpty)
     asio::post(io_, [this] {
@@ -344,9 +339,9 @@
     });
 }
 
-void ClientServer::lastAnswers() { last_ = true; }
+void HttpServer::lastAnswers() { last_ = true; }
 
-void ClientServer::stopAccepting() {
+void HttpServer::stopAccepting() {
   // Danger: what waits to be accepted may hold requests already; a closed listener would reset them.
   takeWaiting(limits_.connections);
   error_code ignored;
@@ -360,7 +355,7 @@
   if (open_ == 0 && onEmpty) onEmpty();
 }
 
-void ClientServer::sweep() {
+void HttpServer::sweep() {
   const auto now = Clock::now();
   const std::array<std::pair<State, std::chrono::milliseconds>, 5> bounds{
       {{State::fresh, limits_.slow},
--- a/src/net/client_server.hpp
+++ b/src/http/server.hpp
@@ -1,4 +1,4 @@
-// The clients' side: accepts, parses, answers, and notices that a client left.
+// HTTP/1.1 connections of clients: accepts, parses, answers, and notices that a client left.
 #pragma once
 
 #include <array>
@@ -13,7 +13,7 @@
 #include <memory>
 #include <unordered_map>
 
-#include "net/host_pool.hpp"
+#include "http/message.hpp"
 
 namespace cairnjunction {
 
@@ -25,7 +25,7 @@
   std::chrono::steady_clock::time_point began;  // its first byte
 };
 
-class ClientServer {
+class HttpServer {
  public:
   struct Limits {
     std::size_t connections = 640;
@@ -42,15 +42,15 @@
   };
 
   // Listens at once. Throws boost::system::system_error.
-  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits,
-               Callbacks callbacks);
-  ~ClientServer();
-  ClientServer(const ClientServer&) = delete;
-  ClientServer& operator=(const ClientServer&) = delete;
+  HttpServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits,
+             Callbacks callbacks);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
 
   boost::asio::ip::tcp::endpoint listening() const { return acceptor_.local_endpoint(); }
   void setLimits(const Limits& limits) { limits_ = limits; }
-  void answer(ExchangeId exchange, HttpResponse response);
+  void answer(ExchangeId exchange, HttpAnswer answer);
   void lastAnswers();    // from now on every answer closes its connection
   void stopAccepting();  // takes what waits to be accepted, then closes the listener and idle connections
   std::size_t connections() const { return open_; }
--- a/src/net/host_pool.cpp
+++ b/src/http/upstream.cpp
@@ -1,17 +1,17 @@
-#include "net/host_pool.hpp"
+#include "http/upstream.hpp"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/write.hpp>
 #include <chrono>
 #include <optional>
 #include <string_view>
 #include <utility>
 
-#include "net/framing.hpp"
+#include "http/framing.hpp"
 
 namespace cairnjunction {
 namespace {
@@ -34,16 +34,16 @@
 
 }  // namespace
 
-struct HostPool::Connection : std::enable_shared_from_this<Connection> {
+struct HttpUpstream::Connection : std::enable_shared_from_this<Connection> {
   enum class Phase { connecting, writing, reading, idle, closed };
 
-  HostPool* pool;
+  HttpUpstream* pool;
   HostId host;
   tcp::socket socket;
   asio::steady_timer timer;
   boost::beast::flat_buffer buffer{kHeaderLimit + kBodyLimit};
   std::optional<http::response_parser<http::string_body>> parser;
-  HttpRequest request;
+  std::string request;  // as it is written
   AttemptKey key;
   Phase phase = Phase::connecting;
   Clock::time_point sentAt, idleSince, deadline;
@@ -52,7 +52,7 @@
   bool watching = false, headSeen = false;
   int interim = 0;
 
-  Connection(HostPool& p, HostId h) : pool(&p), host(h), socket(p.io_), timer(p.io_) { ++p.open_; }
+  Connection(HttpUpstream& p, HostId h) : pool(&p), host(h), socket(p.io_), timer(p.io_) { ++p.open_; }
 
   void close() {
     if (phase == Phase::closed) return;
@@ -90,7 +90,7 @@
   void write() {
     phase = Phase::writing;
     limit(deadline, Outcome::timeout);
-    http::async_write(socket, request, [self = shared_from_this()](error_code ec, std::size_t) {
+    asio::async_write(socket, asio::buffer(request), [self = shared_from_this()](error_code ec, std::size_t) {
       if (self->phase != Phase::writing) return;
       // An error here means that the last byte was not written: it never ran.
       if (ec) return self->end(Outcome::connectFailed);
@@ -179,7 +179,7 @@
   void end(Outcome outcome, bool keep = false) {
     const auto self = shared_from_this();
     AttemptEnd done{key, host, outcome, Clock::now() - sentAt, {}};
-    if (outcome == Outcome::served) done.answer = parser->release();
+    if (outcome == Outcome::served) done.answer = answerOf(parser->release());
     parser.reset();
     pool->busy_.erase(key);
     const auto known = pool->hosts_.find(host);
@@ -192,7 +192,7 @@
     phase = Phase::idle;
     ++turn;
     timer.cancel();
-    request = {};
+    request.clear();
     idleSince = Clock::now();
     buffer.shrink_to_fit();
     of.idle.push_back(shared_from_this());
@@ -219,21 +219,21 @@
   }
 };
 
-HostPool::HostPool(asio::io_context& io, Limits limits, Ended ended)
+HttpUpstream::HttpUpstream(asio::io_context& io, Limits limits, Ended ended)
     : io_(io), limits_(limits), ended_(std::move(ended)), sweeper_(io) {
   sweep();
 }
 
-HostPool::~HostPool() { stop(); }
+HttpUpstream::~HttpUpstream() { stop(); }
 
-void HostPool::stop() {
+void HttpUpstream::stop() {
   sweeper_.cancel();
   for (auto& [key, connection] : std::exchange(busy_, {})) connection->close();
   for (auto& [id, host] : hosts_)
     for (auto& connection : std::exchange(host.idle, {})) connection->close();
 }
 
-void HostPool::list(HostId host, const tcp::endpoint& endpoint, bool serving) {
+void HttpUpstream::list(HostId host, const tcp::endpoint& endpoint, bool serving) {
   Host& h = hosts_[host];
   // One that is gone may be named without its address.
   const bool moved = endpoint.port() != 0 && endpoint != h.endpoint;
@@ -242,16 +242,16 @@
   h.serving = serving;
 }
 
-void HostPool::unlistAll() {
+void HttpUpstream::unlistAll() {
   for (auto& [id, host] : hosts_) host.serving = false;
 }
 
-void HostPool::forget(HostId host) {
+void HttpUpstream::forget(HostId host) {
   closeIdle(host);
   hosts_.erase(host);
 }
 
-void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit) {
+void HttpUpstream::start(AttemptKey key, HostId host, const Call& call, Duration limit) {
   const auto now = Clock::now();
   const auto known = hosts_.find(host);
   if (known == hosts_.end()) return ended_({key, host, Outcome::connectFailed, {}, {}});
@@ -263,7 +263,7 @@
     connection = std::make_shared<Connection>(*this, host);
   }
   connection->key = key;
-  connection->request = std::move(request);
+  connection->request = wireText(call, known->second.endpoint, limit);
   connection->sentAt = now;
   connection->deadline = now + std::max(limit, Duration::zero());
   busy_.emplace(key, connection);
@@ -271,19 +271,19 @@
   else connection->write();
 }
 
-void HostPool::cancel(AttemptKey key) {
+void HttpUpstream::cancel(AttemptKey key) {
   const auto it = busy_.find(key);
   if (it == busy_.end()) return;
   const auto connection = it->second;
   connection->end(Outcome::cancelled);
 }
 
-void HostPool::closeIdle(HostId host) {
+void HttpUpstream::closeIdle(HostId host) {
   if (const auto known = hosts_.find(host); known != hosts_.end())
     for (auto& connection : std::exchange(known->second.idle, {})) connection->close();
 }
 
-std::shared_ptr<HostPool::Connection> HostPool::takeIdle(Host& host) {
+std::shared_ptr<HttpUpstream::Connection> HttpUpstream::takeIdle(Host& host) {
   auto& idle = host.idle;
   while (!idle.empty()) {
     const auto connection = std::move(idle.back());
@@ -294,13 +294,13 @@
   return nullptr;
 }
 
-bool HostPool::outlived(const Connection& connection) const {
+bool HttpUpstream::outlived(const Connection& connection) const {
   if (limits_.idleClose <= Duration::zero()) return false;
   const Duration margin = std::min(kIdleMargin, limits_.idleClose / 5);
   return Clock::now() - connection.idleSince >= limits_.idleClose - margin;
 }
 
-bool HostPool::closeOldestIdle() {
+bool HttpUpstream::closeOldestIdle() {
   std::vector<std::shared_ptr<Connection>>* from = nullptr;
   for (auto& [id, host] : hosts_)
     if (!host.idle.empty() && (!from || host.idle.front()->idleSince < from->front()->idleSince))
@@ -311,13 +311,13 @@
   return true;
 }
 
-void HostPool::dropIdle(const std::shared_ptr<Connection>& connection) {
+void HttpUpstream::dropIdle(const std::shared_ptr<Connection>& connection) {
   if (const auto known = hosts_.find(connection->host); known != hosts_.end())
     std::erase(known->second.idle, connection);
   connection->close();
 }
 
-void HostPool::sweep() {
+void HttpUpstream::sweep() {
   for (auto& [id, host] : hosts_)
     std::erase_if(host.idle, [&, serving = host.serving](const auto& connection) {
       if (serving && !outlived(*connection)) return false;
--- /dev/null
+++ b/src/http/upstream.hpp
@@ -0,0 +1,70 @@
+// Attempts over HTTP/1.1: connections to hosts, one attempt at a time on each. Maps how a socket ends to an
+// Outcome; it sends nothing again by itself.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "core/call.hpp"
+#include "http/message.hpp"
+#include "ochrehill/ochrehill.hpp"
+#include "upstream/host_upstream.hpp"
+
+namespace cairnjunction {
+
+class HttpUpstream final : public HostUpstream {
+ public:
+  struct Limits {
+    std::size_t connections = 256;         // over all hosts
+    ochrehill::Duration connectTimeout{};  // for a new one
+    ochrehill::Duration idleClose{};       // the host closes idle ones after this at the latest; 0 = never
+  };
+  using Ended = std::function<void(AttemptEnd)>;
+
+  HttpUpstream(boost::asio::io_context& io, Limits limits, Ended ended);
+  ~HttpUpstream() override;
+  HttpUpstream(const HttpUpstream&) = delete;
+  HttpUpstream& operator=(const HttpUpstream&) = delete;
+
+  void setLimits(const Limits& limits) { limits_ = limits; }
+  void list(ochrehill::HostId host, const boost::asio::ip::tcp::endpoint& endpoint, bool serving) override;
+  void unlistAll() override;
+  void forget(ochrehill::HostId host) override;
+  // Sends on the latest used idle connection if there is one.
+  void start(AttemptKey key, ochrehill::HostId host, const Call& call, ochrehill::Duration limit) override;
+  void cancel(AttemptKey key) override;
+  void closeIdle(ochrehill::HostId host) override;
+  void stop() override;
+  std::size_t connections() const override { return open_; }
+  std::size_t hosts() const override { return hosts_.size(); }
+
+ private:
+  struct Connection;
+  struct Host {
+    boost::asio::ip::tcp::endpoint endpoint;
+    bool serving = false;
+    std::vector<std::shared_ptr<Connection>> idle;  // the latest used last
+  };
+  std::shared_ptr<Connection> takeIdle(Host& host);
+  bool closeOldestIdle();
+  bool outlived(const Connection& connection) const;
+  void dropIdle(const std::shared_ptr<Connection>& connection);
+  void sweep();
+
+  boost::asio::io_context& io_;
+  Limits limits_;
+  Ended ended_;
+  std::unordered_map<ochrehill::HostId, Host> hosts_;
+  std::unordered_map<AttemptKey, std::shared_ptr<Connection>, AttemptKeyHash> busy_;
+  std::size_t open_ = 0;
+  boost::asio::steady_timer sweeper_;
+};
+
+}  // namespace cairnjunction
--- a/tests/config_test.cpp
+++ b/tests/app/config_test.cpp
@@ -1,5 +1,5 @@
 // What the gateway makes of its variables and its JSON file.
-#include "net/config.hpp"
+#include "config/config.hpp"
 
 #include <cstdio>
 #include <fstream>
--- a/tests/gateway_test.cpp
+++ b/tests/app/gateway_test.cpp
@@ -1,5 +1,5 @@
 // The gateway on real loopback sockets: outcomes, limits on repeats, drains, clients, bounds.
-#include "net/gateway.hpp"
+#include "app/gateway.hpp"
 
 #include <algorithm>
 #include <memory>
--- a/tests/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -7,7 +7,7 @@
 #include <fstream>
 #include <thread>
 
-#include "net/host_list.hpp"
+#include "discovery/host_list.hpp"
 #include "net_peers.hpp"
 
 namespace cairnjunction::testing {
