JSON-RPC 2.0 and 1.0 over TCP: front, upstream and named sessions on the engine

Need: older log scanners speak JSON-RPC; they get the same four rules, not a side path. Change: src/jsonrpc: frames (lines, Content-Length), parsing by simdjson, a front with batches, notifications and bounds, a table of sessions with no I/O, an upstream that carries many calls on a connection.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "http/upstream.hpp"
+#include "jsonrpc/upstream.hpp"
 
 namespace cairnjunction {
 namespace {
@@ -37,8 +38,13 @@
   return {shareOf(config.sockets, 2, 5), config.connectTimeout, config.module.idleClose};
 }
 
-HttpServer::Limits clientLimits(const Config& config, HttpServer::Limits waits) {
-  waits.connections = std::min(waits.connections, shareOf(config.sockets, 3, 5));
+// Both fronts together have what the only one has.
+std::size_t clientConnections(const Config& config, bool both) {
+  return shareOf(config.sockets, 3, 5) / (both ? 2 : 1);
+}
+
+HttpServer::Limits clientLimits(const Config& config, HttpServer::Limits waits, bool both) {
+  waits.connections = std::min(waits.connections, clientConnections(config, both));
   waits.kept = std::min(waits.kept, config.sockets / kClientPart * kKeptNum / kKeptDen);
   waits.bodyBytes = std::min(waits.bodyBytes, (config.memoryMb << 20) / kBodyPart);
   return waits;
@@ -47,11 +53,12 @@
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits,
-                 std::function<void(std::string)> log)
+                 std::function<void(std::string)> log, const jsonrpc::Settings& jsonRpc)
     : io_(io),
       start_(Clock::now()),
       unixStart_(std::chrono::system_clock::now()),
       settings_(config.module),
+      jsonRpcSettings_(jsonRpc),
       waits_(waits),
       log_(std::move(log)),
       upstream_(makeUpstream(config)),
@@ -63,8 +70,18 @@
           waits.discovery),
       waker_(io),
       drainTimer_(io),
-      http_(io, config.listen, clientLimits(config, waits.clients), settings_, engine_,
-            [this] { return ready_ && !draining_; }) {
+      http_(io, config.listen, clientLimits(config, waits.clients, jsonRpc.listen.has_value()), settings_,
+            engine_, [this] { return ready_ && !draining_; }) {
+  if (jsonRpcSettings_.listen) {
+    jsonrpc::FrontLimits& limits = jsonRpcSettings_.limits;
+    limits.connections = std::min(limits.connections, clientConnections(config, true));
+    limits.bytes = std::min(limits.bytes, (config.memoryMb << 20) / kBodyPart);
+    // New with each start: workers may still know names of the last one.
+    const auto born =
+        std::chrono::duration_cast<std::chrono::microseconds>(unixStart_.time_since_epoch()).count();
+    jsonRpc_ = std::make_unique<jsonrpc::Front>(io, jsonRpcSettings_, engine_,
+                                                config.name + "-" + std::to_string(born) + "-");
+  }
   if (config.known) discovery_.knows(config.known->version);
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
@@ -76,8 +93,25 @@
 }
 
 std::unique_ptr<HostUpstream> Gateway::makeUpstream(const Config& config) {
-  return std::make_unique<HttpUpstream>(io_, hostLimits(config),
-                                        [this](AttemptEnd end) { engine_.attemptEnded(std::move(end)); });
+  const auto ended = [this](AttemptEnd end) { engine_.attemptEnded(std::move(end)); };
+  if (!jsonRpcSettings_.workers.jsonRpc) {
+    auto upstream = std::make_unique<HttpUpstream>(io_, hostLimits(config), ended);
+    limitUpstream_ = [to = upstream.get()](const Config& c) { to->setLimits(hostLimits(c)); };
+    return upstream;
+  }
+  jsonrpc::Upstream::Limits limits;
+  const HttpUpstream::Limits as = hostLimits(config);
+  limits.connections = as.connections;
+  limits.connectTimeout = as.connectTimeout;
+  limits.idleClose = as.idleClose;
+  limits.streams = jsonRpcSettings_.workers.streams;
+  limits.form = jsonRpcSettings_.workers.form;
+  auto upstream = std::make_unique<jsonrpc::Upstream>(io_, limits, ended);
+  limitUpstream_ = [to = upstream.get()](const Config& c) {
+    const HttpUpstream::Limits now = hostLimits(c);
+    to->setLimits(now.connections, now.connectTimeout, now.idleClose);
+  };
+  return upstream;
 }
 
 // --- Clock ----------------------------------------------------------------------------------------------
@@ -132,8 +166,8 @@
 // The listener and the module's settings stay as they are until a restart: answers are owed by them.
 void Gateway::reload(const Config& config) {
   discovery_.moveTo(config.discovery);
-  static_cast<HttpUpstream&>(*upstream_).setLimits(hostLimits(config));
-  http_.server().setLimits(clientLimits(config, waits_.clients));
+  limitUpstream_(config);
+  http_.server().setLimits(clientLimits(config, waits_.clients, jsonRpc_ != nullptr));
 }
 
 void Gateway::drain(std::function<void()> done) {
@@ -144,9 +178,16 @@
   drainTimer_.expires_after(kAcceptOn);
   drainTimer_.async_wait([this](error_code ec) {
     if (ec) return;
-    http_.server().onEmpty = [this] { drained_(); };
+    jsonRpcEmpty_ = !jsonRpc_;
+    http_.server().onEmpty = [this] { emptied(httpEmpty_); };
     http_.server().stopAccepting();
+    if (jsonRpc_) jsonRpc_->stopAccepting([this] { emptied(jsonRpcEmpty_); });
   });
 }
 
+void Gateway::emptied(bool& front) {
+  front = true;
+  if (httpEmpty_ && jsonRpcEmpty_ && drained_) std::exchange(drained_, nullptr)();
+}
+
 }  // namespace cairnjunction
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -13,6 +13,8 @@
 #include "core/margin.hpp"
 #include "discovery/discovery.hpp"
 #include "http/front.hpp"
+#include "jsonrpc/front.hpp"
+#include "jsonrpc/settings.hpp"
 #include "ochrehill/ochrehill.hpp"
 #include "upstream/host_upstream.hpp"
 
@@ -28,19 +30,25 @@
     Discovery::Waits discovery;
   };
 
-  // Listens and asks discovery at once. Throws boost::system::system_error if it can't listen.
+  // Listens and asks discovery at once. Throws boost::system::system_error if it can't listen. `jsonRpc` was
+  // resolved against the settings in `config` (jsonrpc::resolve).
   Gateway(boost::asio::io_context& io, const Config& config, Waits waits,
-          std::function<void(std::string)> log);
+          std::function<void(std::string)> log, const jsonrpc::Settings& jsonRpc = {});
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
   boost::asio::ip::tcp::endpoint listening() const { return http_.server().listening(); }
+  boost::asio::ip::tcp::endpoint listeningJsonRpc() const { return jsonRpc_->listening(); }
+  const jsonrpc::Front* jsonRpc() const { return jsonRpc_.get(); }  // null: off
+  const Engine& engine() const { return engine_; }
   // A new configuration: its discovery and limits hold from now on. What is under way goes on.
   void reload(const Config& config);
   std::size_t openRequests() const { return engine_.openCalls(); }
   std::size_t hosts() const { return upstream_->hosts(); }
-  std::size_t connections() const { return http_.server().connections() + upstream_->connections(); }
+  std::size_t connections() const {
+    return http_.server().connections() + upstream_->connections() + (jsonRpc_ ? jsonRpc_->connections() : 0);
+  }
   // Finishes what was taken, then closes all and calls `done`.
   void drain(std::function<void()> done);
 
@@ -53,13 +61,16 @@
   ochrehill::Time moduleTime(std::int64_t unixMs) const;
   void told(const HostList& list, ochrehill::ListKind kind);
   std::unique_ptr<HostUpstream> makeUpstream(const Config& config);
+  void emptied(bool& front);
 
   boost::asio::io_context& io_;
   std::chrono::steady_clock::time_point start_;
   std::chrono::system_clock::time_point unixStart_;
   ochrehill::Settings settings_;
+  jsonrpc::Settings jsonRpcSettings_;
   Waits waits_;
   std::function<void(std::string)> log_;
+  std::function<void(const Config&)> limitUpstream_;  // set with the upstream, so before it
   std::unique_ptr<HostUpstream> upstream_;
   Engine engine_;
   Discovery discovery_;
@@ -67,7 +78,9 @@
   ochrehill::Time wakeAt_{};
   std::function<void()> drained_;
   bool ready_ = false, draining_ = false;
-  HttpFront http_;  // the fronts last: they may hand over calls from here on
+  bool httpEmpty_ = false, jsonRpcEmpty_ = false;  // in a drain: no client is left
+  HttpFront http_;                                 // the fronts last: they may hand over calls from here on
+  std::unique_ptr<jsonrpc::Front> jsonRpc_;
 };
 
 }  // namespace cairnjunction
--- /dev/null
+++ b/src/jsonrpc/front.cpp
@@ -0,0 +1,381 @@
+// JSON-RPC for clients over TCP.
+#include "jsonrpc/front.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "core/margin.hpp"
+
+namespace cairnjunction::jsonrpc {
+namespace {
+
+using ochrehill::Duration;
+using ochrehill::Effect;
+using Clock = std::chrono::steady_clock;
+
+constexpr auto kExpire = std::chrono::seconds(1);
+// A key goes into a header of HTTP workers: visible characters only, and not more of them than a header
+// bears.
+constexpr std::size_t kKeyMost = 256;
+// A session's name gives its answers to whoever has it, so it must not be guessed.
+constexpr std::size_t kNameLeast = 16, kNameMost = 128;
+// What an open call takes here, in the engine, in the module and at the upstream beside its params: bytes.
+constexpr std::size_t kCallCost = 1024;
+
+bool visible(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+std::uint64_t printOf(const Entry& entry) {
+  std::string all(entry.method);
+  all.append(1, '\0').append(entry.params);
+  return std::hash<std::string>{}(all);
+}
+
+}  // namespace
+
+Front::Front(boost::asio::io_context& io, const Settings& settings, Engine& engine, std::string gateway)
+    : io_(io),
+      settings_(settings),
+      engine_(engine),
+      gateway_(std::move(gateway)),
+      parser_(settings.limits.frameBytes),
+      checker_(settings.limits.frameBytes),
+      table_(settings.sessions),
+      expirer_(io),
+      server_(io, *settings.listen, settings.limits,
+              std::chrono::duration_cast<std::chrono::milliseconds>(settings.sessions.ttl / 2),
+              {[this](ConnectionId id, std::string_view text, Clock::time_point began) {
+                 received(id, text, began);
+               },
+               [this](ConnectionId id, const char* why) { bad(id, why); },
+               [this](ConnectionId id) { gone(id); }}) {
+  for (const MethodSettings& method : settings_.methods) methods_.emplace(method.name, &method);
+  expire();
+}
+
+ochrehill::Time Front::now() const { return Clock::now() - start_; }
+
+void Front::expire() {
+  expirer_.expires_after(kExpire);
+  expirer_.async_wait([this](boost::system::error_code ec) {
+    if (ec) return;
+    table_.expire(now());
+    expire();
+  });
+}
+
+void Front::stopAccepting(std::function<void()> onEmpty) {
+  server_.onEmpty = std::move(onEmpty);
+  server_.stopAccepting();
+}
+
+// --- Texts ----------------------------------------------------------------------------------------------
+
+void Front::received(ConnectionId id, std::string_view text, Clock::time_point began) {
+  const Request& request = parser_.parseRequest(text, settings_.limits.batch);
+  if (request.error != 0) {
+    std::string reply;
+    appendReply(2, "null", {true, errorText(request.error, request.message)}, reply);
+    server_.write(id, reply);
+    // A client that goes on like this is left: each of its texts costs as much as a good one.
+    if (++peers_[id].bad >= settings_.limits.badMost) server_.closeAfterReplies(id);
+    return;
+  }
+  // A batch has the earliest deadline among its entries: its replies leave together.
+  Duration left = Duration::max();
+  for (std::size_t i = 0; i < request.entries.size(); ++i)
+    if (request.entries[i].kind == Entry::Kind::call) left = std::min(left, timeFor(i, request.entries[i]));
+  const Duration spent = (Clock::now() - began) + kAnswerMargin;
+  const auto group = std::make_shared<Group>();
+  group->connection = id;
+  group->batch = request.batch;
+  group->replies.resize(request.entries.size());
+  for (std::size_t i = 0; i < request.entries.size(); ++i) {
+    const Entry& entry = request.entries[i];
+    take(id, group, i, entry, (entry.kind == Entry::Kind::call ? left : timeFor(i, entry)) - spent);
+  }
+  complete(group);
+}
+
+// How long the client waits for this entry; the largest there is if nothing is run for it.
+Duration Front::timeFor(std::size_t i, const Entry& entry) const {
+  if (entry.kind == Entry::Kind::invalid) return Duration::max();
+  const auto known = methods_.find(entry.method);
+  if (known == methods_.end()) return Duration::max();
+  const MethodSettings& method = *known->second;
+  if (method.deadlineAt.empty()) return method.deadline;
+  const auto said = parser_.param(i, method.deadlineAt);
+  std::uint32_t ms = 0;
+  if (!said || std::from_chars(said->data(), said->data() + said->size(), ms).ec != std::errc{})
+    return method.deadline;
+  return std::min<Duration>(method.deadline, std::chrono::milliseconds(ms));
+}
+
+void Front::take(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry,
+                 Duration left) {
+  if (entry.kind == Entry::Kind::invalid)
+    return fail(group, place, entry, kInvalidRequest, std::string("Invalid Request: ") + entry.error);
+  if (entry.method == kSessionMethod) return openSession(id, group, place, entry);
+  Peer& peer = peers_[id];
+  if (!firstOfItsId(peer, *group, entry)) {
+    Entry nameless = entry;
+    nameless.id = "null";
+    return fail(group, place, nameless, kInvalidRequest, "Invalid Request: the id of another open call",
+                "{\"id\":" + std::string(entry.id) + "}");
+  }
+  const auto known = methods_.find(entry.method);
+  if (known == methods_.end()) return fail(group, place, entry, kMethodNotFound, "Method not found");
+  if (entry.params.size() > settings_.limits.paramsBytes)
+    return fail(group, place, entry, kInvalidParams, "Invalid params: too large");
+  if (entry.kind == Entry::Kind::call && !entry.key.empty() && peer.session != 0) {
+    const SessionTable::Found found =
+        table_.begin(now(), peer.session, entry.key, printOf(entry), lastTicket_ + 1);
+    switch (found.begun) {
+      case SessionTable::Begun::first: break;
+      case SessionTable::Begun::running: return join(id, group, place, entry, found.ticket);
+      case SessionTable::Begun::answered:
+        ++group->pending;
+        return deliver(group, place, entry.version, entry.id, *found.answer);
+      case SessionTable::Begun::different:
+        return fail(group, place, entry, kInvalidRequest,
+                    "Invalid Request: the session had another call with this id");
+      case SessionTable::Begun::full:
+        return fail(group, place, entry, kRefused, "Refused: no room to hold the answer",
+                    "{\"retry\":\"harmless\"}");
+    }
+  }
+  start(id, group, place, entry, *known->second, left);
+}
+
+// Danger: two replies with one id can't be told apart by the client. So the id has the first one's, and the
+// second entry is answered by an error that has none. Null ids are nobody's.
+bool Front::firstOfItsId(const Peer& peer, Group& group, const Entry& entry) const {
+  if (entry.kind != Entry::Kind::call || entry.key.empty()) return true;
+  if (peer.keys.count(entry.key)) return false;
+  return !group.batch || group.keys.insert(entry.key).second;
+}
+
+void Front::start(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry,
+                  const MethodSettings& method, Duration left) {
+  Peer& peer = peers_[id];
+  const std::uint64_t ticket = ++lastTicket_;
+  const bool call = entry.kind == Entry::Kind::call;
+  const bool held = call && !entry.key.empty() && peer.session != 0;
+  const auto turnAway = [&](int code, std::string_view message, std::string_view data = {}) {
+    if (held) table_.neverRan(peer.session, entry.key);
+    fail(group, place, entry, code, message, data);
+  };
+  const std::size_t cost = kCallCost + entry.params.size();
+  if (slots_.size() >= settings_.limits.open || bytes() + cost > settings_.limits.bytes)
+    return turnAway(kRefused, "Refused: too many calls are open", "{\"retry\":\"harmless\"}");
+  Call out;
+  if (!method.keyAt.empty()) {
+    const auto key = parser_.param(place, method.keyAt);
+    const bool good = key && !key->empty() && key->size() <= kKeyMost && visible(*key);
+    // Danger: a keyed call with no key is dropped by nobody when it is repeated.
+    if (!good && (key || method.effect == Effect::dedup))
+      return turnAway(kInvalidParams,
+                      "Invalid params: no key, or not 1 to 256 visible characters, at " + method.keyAt);
+    if (good) out.key = *key;
+  }
+  if (!method.objectAt.empty())
+    if (const auto object = parser_.param(place, method.objectAt)) {
+      out.facts.hasKey = true;
+      out.facts.key = std::hash<std::string>{}(*object);
+    }
+  out.name = gateway_ + std::to_string(ticket);
+  out.facts.classIndex = method.classIndex;
+  out.facts.left = left;
+  out.message.operation = method.name;
+  out.message.target = method.target;
+  out.message.body = std::string(entry.params);
+  out.message.format = Format::json;
+  out.message.safe = method.effect == Effect::retryable;
+  Slot& slot = slots_[ticket];
+  slot.connection = id;
+  slot.version = entry.version;
+  slot.safe = out.message.safe;
+  slot.bytes = cost;
+  bytes_ += cost;
+  ++peer.open;
+  if (call) {
+    slot.group = group;
+    slot.place = place;
+    slot.id = entry.id;
+    slot.key = entry.key;
+    slot.session = held ? peer.session : 0;
+    ++group->pending;
+    if (!slot.key.empty()) peer.keys.insert(slot.key);
+    peer.slots.insert(ticket);
+  }
+  server_.holds(id, peer.open);
+  // A client of another front may have thought of the same name.
+  if (engine_.take(std::move(out), *this, ticket, &slot.call) != Engine::Taken::yes)
+    onReply(ticket, {Verdict::refused, {}, {}});
+}
+
+// The call of this id runs since before its connection dropped: its reply goes to this one.
+void Front::join(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry,
+                 std::uint64_t ticket) {
+  const auto it = slots_.find(ticket);
+  if (it == slots_.end()) return fail(group, place, entry, kInternalError, "Internal error");
+  Slot& slot = it->second;
+  Peer& peer = peers_[id];
+  slot.group = group;
+  slot.connection = id;
+  slot.place = place;
+  slot.id = entry.id;
+  slot.version = entry.version;
+  ++group->pending;
+  peer.keys.insert(slot.key);
+  peer.slots.insert(ticket);
+  server_.holds(id, ++peer.open);
+}
+
+void Front::openSession(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry) {
+  const auto name = parser_.param(place, "/name"), resume = parser_.param(place, "/resume");
+  if (!name || name->size() < kNameLeast || name->size() > kNameMost || !visible(*name))
+    return fail(group, place, entry, kInvalidParams,
+                "Invalid params: name must be 16 to 128 visible characters that nobody can guess");
+  Peer& peer = peers_[id];
+  if (peer.session != 0 || !peer.slots.empty())
+    return fail(group, place, entry, kInvalidRequest,
+                "Invalid Request: a session is opened once, before the connection's calls");
+  SessionTable::Id session = 0;
+  const SessionTable::Opened opened = table_.open(now(), *name, resume && *resume == "true", session);
+  if (opened == SessionTable::Opened::notHeld)
+    return fail(group, place, entry, kNoSession,
+                "The session is not held: what its calls came to is not known", "{\"retry\":\"unknown\"}");
+  if (opened == SessionTable::Opened::full)
+    return fail(group, place, entry, kRefused, "Refused: too many sessions", "{\"retry\":\"harmless\"}");
+  // Danger: a connection that is dead and does not know it yet would take the replies. The newest has them.
+  if (const auto before = attached_.find(session); before != attached_.end()) {
+    const ConnectionId old = before->second;
+    if (const auto known = peers_.find(old); known != peers_.end()) {
+      known->second.session = 0;  // the session goes over, it is not detached
+      drop(old, known->second);
+    }
+    server_.close(old);
+  }
+  attached_[session] = id;
+  peers_[id].session = session;
+  const auto ttl = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.sessions.ttl).count();
+  if (entry.kind != Entry::Kind::call) return;
+  ++group->pending;
+  deliver(
+      group, place, entry.version, entry.id,
+      {false, std::string("{\"resumed\":") + (opened == SessionTable::Opened::resumed ? "true" : "false") +
+                  ",\"ttl_ms\":" + std::to_string(ttl) + "}"});
+}
+
+// --- Replies --------------------------------------------------------------------------------------------
+
+void Front::onReply(std::uint64_t ticket, Reply reply) {
+  const auto it = slots_.find(ticket);
+  if (it == slots_.end()) return;
+  Slot slot = std::move(it->second);
+  slots_.erase(it);
+  bytes_ -= slot.bytes;
+  leave(ticket, slot);
+  if (!slot.group && slot.session == 0) return;  // nobody is to be told
+  const bool neverRan = reply.verdict == Verdict::refused;
+  Result result = resultOf(std::move(reply), slot.safe, checker_);
+  if (slot.group) deliver(slot.group, slot.place, slot.version, slot.id, result);
+  if (slot.session == 0) return;
+  if (neverRan) table_.neverRan(slot.session, slot.key);
+  else table_.answered(now(), slot.session, slot.key, std::move(result));
+}
+
+// Its connection waits for it no longer.
+void Front::leave(std::uint64_t ticket, const Slot& slot) {
+  const auto known = peers_.find(slot.connection);
+  if (known == peers_.end()) return;
+  Peer& peer = known->second;
+  if (!slot.key.empty()) peer.keys.erase(slot.key);
+  peer.slots.erase(ticket);
+  --peer.open;
+  if (!slot.group) server_.holds(slot.connection, peer.open);  // else with its reply
+}
+
+void Front::fail(const GroupPtr& group, std::size_t place, const Entry& entry, int code,
+                 std::string_view message, std::string_view data) {
+  if (entry.kind == Entry::Kind::notification) return;  // not answered, whatever becomes of it (4.1)
+  ++group->pending;
+  // The id of an invalid request is null (5), also where one could be read: it may be another call's.
+  const std::string_view id = entry.kind == Entry::Kind::invalid ? std::string_view("null") : entry.id;
+  deliver(group, place, entry.version, id, {true, errorText(code, message, data)});
+}
+
+void Front::deliver(const GroupPtr& group, std::size_t place, int version, std::string_view id,
+                    const Result& result) {
+  std::string& text = group->replies[place];
+  // Danger: a thousand answers that wait for the last of their batch may be large. What can't be held is
+  // told.
+  if (bytes() + result.json.size() > settings_.limits.bytes)
+    appendReply(version, id,
+                {true, errorText(kFailed, "Failed: no room to hold the answer", "{\"retry\":\"unknown\"}")},
+                text);
+  else appendReply(version, id, result, text);
+  group->bytes += text.size();
+  bytes_ += text.size();
+  complete(group);
+}
+
+void Front::complete(const GroupPtr& group) {
+  if (--group->pending > 0) return;
+  bytes_ -= group->bytes;
+  const ConnectionId id = group->connection;
+  if (!group->batch) {
+    if (!group->replies.front().empty()) server_.write(id, group->replies.front());
+  } else {
+    std::string all;
+    all.reserve(group->bytes + group->replies.size() + 2);
+    for (std::string& reply : group->replies) {
+      if (reply.empty()) continue;
+      all.append(all.empty() ? "[" : ",").append(reply);
+      std::string().swap(reply);
+    }
+    if (!all.empty()) server_.write(id, all.append("]"));
+  }
+  if (const auto known = peers_.find(id); known != peers_.end()) server_.holds(id, known->second.open);
+}
+
+// --- Connections ----------------------------------------------------------------------------------------
+
+void Front::bad(ConnectionId id, const char* why) {
+  std::string reply;
+  appendReply(2, "null", {true, errorText(kParseError, std::string("Parse error: ") + why)}, reply);
+  server_.write(id, reply);
+  server_.closeAfterReplies(id);
+}
+
+void Front::gone(ConnectionId id) {
+  if (const auto known = peers_.find(id); known != peers_.end()) drop(id, known->second);
+}
+
+// With no session the client has gone. In one its calls go on, and their answers are held for it.
+void Front::drop(ConnectionId id, Peer& peer) {
+  Peer old = std::move(peer);
+  peers_.erase(id);
+  if (old.session != 0) {
+    attached_.erase(old.session);
+    table_.detach(now(), old.session);
+  }
+  for (const std::uint64_t ticket : old.slots) {
+    const auto it = slots_.find(ticket);
+    if (it == slots_.end()) continue;
+    Slot& slot = it->second;
+    bytes_ -= std::exchange(slot.group->bytes, 0);
+    slot.group.reset();
+    slot.connection = 0;
+    if (slot.session != 0) continue;
+    const CallId call = slot.call;
+    bytes_ -= slot.bytes;
+    slots_.erase(it);
+    engine_.abandon(call);
+  }
+}
+
+}  // namespace cairnjunction::jsonrpc
--- /dev/null
+++ b/src/jsonrpc/front.hpp
@@ -0,0 +1,116 @@
+// JSON-RPC 2.0 and 1.0 for clients over TCP: makes calls of what they send and replies of what comes back.
+// Ids, batches, notifications and named sessions are kept here; the rules on calls are the engine's.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/engine.hpp"
+#include "jsonrpc/parser.hpp"
+#include "jsonrpc/reply.hpp"
+#include "jsonrpc/server.hpp"
+#include "jsonrpc/session_table.hpp"
+#include "jsonrpc/settings.hpp"
+
+namespace cairnjunction::jsonrpc {
+
+// The methods of the gateway itself; the specification keeps the names that begin with `rpc.` for such.
+inline constexpr std::string_view kSessionMethod = "rpc.session";
+
+class Front final : public ReplySink {
+ public:
+  // Listens at once; throws boost::system::system_error. `settings` were resolved against the module's, and
+  // have a listener. `gateway`: a name that no other gateway before the same workers has, nor this one before
+  // a restart; the names of calls begin with it. All references must outlive the front.
+  Front(boost::asio::io_context& io, const Settings& settings, Engine& engine, std::string gateway);
+  Front(const Front&) = delete;
+  Front& operator=(const Front&) = delete;
+
+  boost::asio::ip::tcp::endpoint listening() const { return server_.listening(); }
+  void onReply(std::uint64_t ticket, Reply reply) override;
+  void stopAccepting(std::function<void()> onEmpty);
+  std::size_t connections() const { return server_.connections(); }
+  std::size_t openCalls() const { return slots_.size(); }
+  std::size_t bytes() const { return server_.bytes() + bytes_; }
+  const SessionTable& sessions() const { return table_; }
+
+ private:
+  // The replies to one text: they leave together when the last is there.
+  struct Group {
+    ConnectionId connection = 0;
+    bool batch = false;
+    std::size_t pending = 1;           // replies that are not there yet, and one for the reading of the text
+    std::vector<std::string> replies;  // by their place in the text; empty: none is owed
+    std::size_t bytes = 0;
+    std::unordered_set<std::string> keys;  // of the entries that are answered by their id
+  };
+  using GroupPtr = std::shared_ptr<Group>;
+
+  struct Slot {      // a call that is open
+    GroupPtr group;  // none: a notification, or its connection dropped
+    ConnectionId connection = 0;
+    std::size_t place = 0;
+    int version = 2;
+    std::string id, key;  // as written; as compared
+    CallId call = 0;
+    SessionTable::Id session = 0;  // 0: none
+    std::size_t bytes = 0;         // that it counts for
+    bool safe = false;
+  };
+  struct Peer {                            // what is known of a connection
+    std::unordered_set<std::string> keys;  // of the open calls that have an id
+    std::unordered_set<std::uint64_t> slots;
+    SessionTable::Id session = 0;
+    std::size_t bad = 0, open = 0;  // texts in error; calls and notifications that are not over
+  };
+
+  void received(ConnectionId id, std::string_view text, std::chrono::steady_clock::time_point began);
+  void take(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry,
+            ochrehill::Duration left);
+  bool firstOfItsId(const Peer& peer, Group& group, const Entry& entry) const;
+  void openSession(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry);
+  ochrehill::Duration timeFor(std::size_t i, const Entry& entry) const;
+  void start(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry,
+             const MethodSettings& method, ochrehill::Duration left);
+  void join(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry,
+            std::uint64_t ticket);
+
+  void deliver(const GroupPtr& group, std::size_t place, int version, std::string_view id,
+               const Result& result);
+  void fail(const GroupPtr& group, std::size_t place, const Entry& entry, int code, std::string_view message,
+            std::string_view data = {});
+  void complete(const GroupPtr& group);
+  void leave(std::uint64_t ticket, const Slot& slot);
+  void bad(ConnectionId id, const char* why);
+  void gone(ConnectionId id);
+  void drop(ConnectionId id, Peer& peer);
+  ochrehill::Time now() const;
+  void expire();
+
+  boost::asio::io_context& io_;
+  const Settings& settings_;
+  Engine& engine_;
+  std::string gateway_;
+  std::unordered_map<std::string_view, const MethodSettings*> methods_;
+  Parser parser_, checker_;  // of texts; of answers, while a text's views are in use
+  SessionTable table_;
+  std::unordered_map<std::uint64_t, Slot> slots_;
+  std::unordered_map<ConnectionId, Peer> peers_;
+  std::unordered_map<SessionTable::Id, ConnectionId> attached_;
+  std::uint64_t lastTicket_ = 0;
+  std::size_t bytes_ = 0;  // of open calls, and of replies that wait for the others of their batch
+  boost::asio::steady_timer expirer_;
+  std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
+  Server server_;  // last: it may hand over texts from here on
+};
+
+}  // namespace cairnjunction::jsonrpc
--- /dev/null
+++ b/src/jsonrpc/server.cpp
@@ -0,0 +1,472 @@
+// Connections of JSON-RPC clients.
+#include "jsonrpc/server.hpp"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <optional>
+#include <utility>
+
+#include "jsonrpc/parser.hpp"
+
+namespace cairnjunction::jsonrpc {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t kChunk = 64 << 10;                      // read at a time, then others have a turn
+constexpr auto kSweep = std::chrono::milliseconds(100);       // late and idle connections are looked for
+constexpr auto kLinger = std::chrono::milliseconds(500);      // for a client to close after the last reply
+constexpr std::size_t kDiscardMost = 256 << 10;               // and so much of what it sends is read out
+constexpr auto kAcceptAgain = std::chrono::milliseconds(20);  // with no room or no descriptor left
+constexpr std::size_t kAcceptAtOnce = 32;                     // then those that are connected have a turn
+constexpr std::size_t kKeepBuffer = 4096;  // an empty buffer larger than this is given back
+
+bool wouldBlock(error_code ec) { return ec == asio::error::would_block || ec == asio::error::try_again; }
+
+}  // namespace
+
+class Server::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Server& server, ConnectionId id, tcp::socket socket)
+      : id_(id), server_(&server), socket_(std::move(socket)), reader_(server.limits_.frameBytes) {}
+
+  void start() {
+    moveTo(Queue::idle);
+    armRead();
+  }
+
+  ConnectionId id() const { return id_; }
+  Clock::time_point since() const { return since_; }
+  bool quiet() const { return open_ == 0 && in_.empty() && out_.empty(); }
+  bool silent() {
+    error_code ec;
+    return quiet() && (socket_.available(ec) == 0 || ec);
+  }
+
+  void write(std::string_view text) {
+    const std::size_t before = out_.size();
+    appendFrame(reader_.form() == Form::headers ? Form::headers : Form::lines, text, out_);
+    server_->bytes_ += out_.size() - before;
+    if (unflushed_) return;
+    unflushed_ = true;
+    server_->unflushed_.push_back(shared_from_this());
+  }
+
+  // By non-blocking sends of our own: what a client does not take stays here, and is counted.
+  void flush() {
+    unflushed_ = false;
+    if (closed_ || waitingWrite_) return;
+    error_code ec;
+    while (sent_ < out_.size()) {
+      const std::size_t n = socket_.write_some(asio::buffer(out_.data() + sent_, out_.size() - sent_), ec);
+      if (ec) break;
+      sent_ += n;
+    }
+    if (ec && !wouldBlock(ec)) return drop();
+    if (sent_ == out_.size()) {
+      server_->bytes_ -= out_.size();
+      out_.clear();
+      if (out_.capacity() > kKeepBuffer) std::string().swap(out_);
+      sent_ = 0;
+      settle();
+      return last_ ? finish() : resume();
+    }
+    if (sent_ > kChunk) {
+      server_->bytes_ -= sent_;
+      out_.erase(0, sent_);
+      mark_ -= std::min(mark_, sent_);
+      sent_ = 0;
+    }
+    // What is due by now must have left when the mark is next looked at.
+    if (place_ != Queue::stalled || sent_ >= mark_) {
+      mark_ = out_.size();
+      moveTo(Queue::stalled);
+    }
+    waitingWrite_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code waitError) {
+      self->waitingWrite_ = false;
+      if (self->closed_) return;
+      if (waitError) return self->drop();
+      self->flush();
+    });
+  }
+
+  void holds(std::size_t calls) {
+    open_ = calls;
+    if (closed_) return;
+    if (last_) return finish();
+    settle();
+    if (!deferred_ && paused_ && !full()) {
+      // Not from within: whoever tells us is in the middle of something.
+      deferred_ = true;
+      asio::post(server_->io_, [self = shared_from_this()] {
+        self->deferred_ = false;
+        if (!self->closed_) self->resume();
+      });
+    }
+  }
+
+  void closeAfterReplies() {
+    if (last_ || closed_) return;
+    last_ = true;
+    dropInput();
+    finish();
+  }
+
+  void close() {
+    if (closed_) return;
+    closed_ = true;
+    dropInput();
+    server_->bytes_ -= out_.size();
+    out_.clear();
+    leave();
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+  // The connection ended, and not by the front's wish.
+  void drop() {
+    if (closed_) return;
+    const auto self = shared_from_this();
+    close();
+    server_->callbacks_.gone(id_);
+    server_->erase(id_);
+  }
+
+  void late(Queue queue) {
+    switch (queue) {
+      case Queue::reading: return bad("a text that was not whole in time");
+      case Queue::stalled: return drop();
+      case Queue::idle:
+        if (!silent()) return moveTo(Queue::idle);  // bytes wait that the loop has not come to
+        return drop();
+      case Queue::lingering: return drop();
+    }
+  }
+
+ private:
+  bool full() const {
+    return open_ >= server_->limits_.openOfOne || out_.size() - sent_ >= server_->limits_.unsentOfOne;
+  }
+
+  void moveTo(Queue queue) {
+    leave();
+    List& to = server_->list(queue);
+    to.push_back(this);
+    at_ = std::prev(to.end());
+    place_ = queue;
+    since_ = Clock::now();
+  }
+  void leave() {
+    if (place_) server_->list(*place_).erase(at_);
+    place_.reset();
+  }
+  // Where a connection waits follows from what it has.
+  void settle() {
+    if (lingering_ || closed_) return;
+    if (!out_.empty()) return;  // flush() says
+    if (!in_.empty() && !paused_) {
+      if (place_ != Queue::reading || taken_) moveTo(Queue::reading);
+      taken_ = false;
+    } else if (open_ == 0) {
+      if (place_ != Queue::idle) moveTo(Queue::idle);
+    } else leave();
+  }
+
+  void armRead() {
+    if (reading_ || closed_) return;
+    reading_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+      self->reading_ = false;
+      if (self->closed_) return;
+      if (ec) return self->drop();
+      self->readable();
+    });
+  }
+
+  void readable() {
+    if (lingering_) return discard();
+    if (last_) return;
+    if (full()) return pause();
+    error_code ec;
+    const std::size_t n = socket_.read_some(asio::buffer(server_->scratch_.data(), kChunk), ec);
+    if (wouldBlock(ec)) return armRead();
+    if (ec) return drop();
+    began_ = Clock::now();
+    if (in_.empty()) {
+      // What is whole is read where it is; only the rest is kept.
+      const std::string_view rest = take({server_->scratch_.data(), n});
+      if (!closed_ && !last_) keep(rest);
+    } else {
+      append({server_->scratch_.data(), n});
+      takeKept();
+    }
+    if (closed_ || last_) return;
+    settle();
+    if (paused_) return;
+    armRead();
+  }
+
+  // Frames out of what came, till there is none or enough is open. What is left of it is given back.
+  std::string_view take(std::string_view input) {
+    const auto self = shared_from_this();
+    while (!closed_ && !last_) {
+      if (full()) {
+        pause();
+        return input;
+      }
+      std::string_view text;
+      const FrameReader::State state = reader_.next(input, text);
+      input.remove_prefix(reader_.taken());
+      if (state == FrameReader::State::more) return input;
+      if (state == FrameReader::State::frame) {
+        server_->callbacks_.frame(id_, text, textBegan_.value_or(began_));
+        textBegan_.reset();
+        taken_ = true;
+        continue;
+      }
+      bad(state == FrameReader::State::bad ? reader_.error() : "a text that is too large");
+    }
+    return {};
+  }
+
+  void takeKept() {
+    // Danger: a parser reads some bytes past the end of a text.
+    in_.reserve(in_.size() + kPadding);
+    const std::size_t left = take(in_).size();
+    if (closed_ || last_) return;
+    server_->bytes_ -= in_.size() - left;
+    in_.erase(0, in_.size() - left);
+    if (in_.empty()) {
+      if (in_.capacity() > kKeepBuffer) std::string().swap(in_);
+      textBegan_.reset();
+    } else if (!textBegan_) textBegan_ = began_;
+  }
+
+  void append(std::string_view bytes) {
+    in_.append(bytes);
+    server_->bytes_ += bytes.size();
+    server_->keepWithin();
+  }
+  void keep(std::string_view rest) {
+    if (rest.empty()) return;
+    if (!textBegan_) textBegan_ = began_;
+    append(rest);
+  }
+  void dropInput() {
+    server_->bytes_ -= in_.size();
+    std::string().swap(in_);
+  }
+
+  void pause() { paused_ = true; }
+  void resume() {
+    if (!paused_ || closed_ || last_ || full()) return;
+    paused_ = false;
+    began_ = Clock::now();
+    textBegan_.reset();  // it waited for us
+    if (!in_.empty()) takeKept();
+    if (closed_ || last_) return;
+    settle();
+    if (!paused_) armRead();
+  }
+
+  void bad(const char* why) {
+    if (last_ || closed_) return;
+    server_->callbacks_.bad(id_, why);
+  }
+
+  // Danger: a connection that is closed with unread bytes in it is reset, and the reset may overtake the
+  // reply. So our side ends first, and the client's is read out, within bounds.
+  void finish() {
+    if (!lingering_ && !closed_ && open_ == 0 && !unflushed_ && out_.empty()) linger();
+  }
+  void linger() {
+    lingering_ = true;
+    moveTo(Queue::lingering);
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    armRead();
+  }
+  void discard() {
+    error_code ec;
+    const std::size_t n = socket_.read_some(asio::buffer(server_->scratch_.data(), kChunk), ec);
+    if (wouldBlock(ec)) return armRead();
+    discarded_ += n;
+    if (ec || discarded_ > kDiscardMost) return drop();
+    armRead();
+  }
+
+  const ConnectionId id_;
+  Server* server_;
+  tcp::socket socket_;
+  FrameReader reader_;
+  std::string in_, out_;  // came and not taken; to be sent, of which `sent_` bytes are
+  std::size_t sent_ = 0, mark_ = 0, open_ = 0, discarded_ = 0;
+  std::optional<Queue> place_;
+  List::iterator at_;
+  Clock::time_point since_, began_;             // of the place; of the last read
+  std::optional<Clock::time_point> textBegan_;  // first byte of a text that is not whole
+  bool reading_ = false, waitingWrite_ = false, unflushed_ = false, paused_ = false, deferred_ = false;
+  bool last_ = false, lingering_ = false, closed_ = false;
+  bool taken_ = false;  // a text since the place was last told
+};
+
+Server::Server(asio::io_context& io, const tcp::endpoint& listen, const FrontLimits& limits,
+               std::chrono::milliseconds userTimeout, Callbacks callbacks)
+    : io_(io),
+      acceptor_(io, listen, true),
+      limits_(limits),
+      userTimeout_(userTimeout),
+      callbacks_(std::move(callbacks)),
+      sweeper_(io),
+      again_(io),
+      scratch_(kChunk + kPadding) {
+  acceptor_.non_blocking(true);
+  accept();
+  sweep();
+}
+
+Server::~Server() {
+  for (auto& [id, connection] : connections_) connection->close();
+}
+
+bool Server::write(ConnectionId id, std::string_view text) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) return false;
+  const auto connection = it->second;
+  connection->write(text);
+  if (!flushing_) {
+    flushing_ = true;
+    asio::post(io_, [this] {
+      flushing_ = false;
+      for (const auto& each : std::exchange(unflushed_, {})) each->flush();
+      keepWithin();
+    });
+  }
+  return true;
+}
+
+void Server::closeAfterReplies(ConnectionId id) {
+  if (const auto it = connections_.find(id); it != connections_.end()) it->second->closeAfterReplies();
+}
+
+void Server::close(ConnectionId id) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  it->second->close();
+  erase(id);
+}
+
+void Server::holds(ConnectionId id, std::size_t calls) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  const auto connection = it->second;
+  connection->holds(calls);
+  if (stopping_ && connection->silent()) connection->drop();
+}
+
+void Server::erase(ConnectionId id) {
+  connections_.erase(id);
+  if (connections_.empty() && stopping_)
+    asio::post(io_, [this] {
+      if (onEmpty && connections_.empty()) std::exchange(onEmpty, nullptr)();
+    });
+}
+
+void Server::accept() {
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code ec) {
+    if (ec || !acceptor_.is_open()) return;
+    if (takeWaiting()) return accept();
+    // Danger: with no descriptor left the listener stays readable, and the loop would spin.
+    again_.expires_after(kAcceptAgain);
+    again_.async_wait([this](error_code waitError) {
+      if (!waitError && acceptor_.is_open()) accept();
+    });
+  });
+}
+
+bool Server::takeWaiting() {
+  for (std::size_t i = 0; i < kAcceptAtOnce; ++i) {
+    if (connections_.size() >= limits_.connections && !makeRoom()) return false;
+    error_code ec;
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, ec);
+    if (wouldBlock(ec)) return true;
+    if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
+    if (ec) return makeRoom();
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket.set_option(UserTimeout(static_cast<int>(userTimeout_.count())), ignored);
+    socket.non_blocking(true, ignored);
+    const ConnectionId id = ++last_;
+    const auto connection = std::make_shared<Connection>(*this, id, std::move(socket));
+    connections_.emplace(id, connection);
+    connection->start();
+  }
+  return true;
+}
+
+// Of those with nothing open, the one that has been so for the longest time.
+bool Server::makeRoom() {
+  for (const Queue queue : {Queue::lingering, Queue::idle})
+    for (Connection* connection : list(queue))
+      if (queue == Queue::lingering || connection->silent()) {
+        connection->drop();
+        return true;
+      }
+  return false;
+}
+
+// Danger: clients that send texts without end or take no replies could together hold any amount. Past the
+// bound the one that has kept its replies waiting for the longest goes first, then the slowest to send.
+void Server::keepWithin() {
+  while (bytes_ > limits_.bytes) {
+    List& from = !list(Queue::stalled).empty() ? list(Queue::stalled) : list(Queue::reading);
+    if (from.empty()) return;
+    from.front()->drop();
+  }
+}
+
+void Server::stopAccepting() {
+  takeWaiting();
+  stopping_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);
+  again_.cancel();
+  const std::vector<Connection*> idle(list(Queue::idle).begin(), list(Queue::idle).end());
+  for (Connection* connection : idle)
+    if (connection->silent()) connection->drop();
+  if (connections_.empty() && onEmpty) std::exchange(onEmpty, nullptr)();
+}
+
+void Server::sweep() {
+  const auto now = Clock::now();
+  const std::array<std::pair<Queue, std::chrono::milliseconds>, 4> bounds{
+      {{Queue::reading, limits_.slow},
+       {Queue::stalled, limits_.stalled},
+       {Queue::idle, stopping_ ? std::chrono::milliseconds(0) : limits_.idle},
+       {Queue::lingering, kLinger}}};
+  for (const auto& [queue, bound] : bounds) {
+    std::vector<std::shared_ptr<Connection>> late;  // by hand: what one does may close another
+    for (Connection* connection : list(queue)) {
+      if (now - connection->since() <= bound) break;
+      late.push_back(connection->shared_from_this());
+    }
+    for (const auto& connection : late)
+      if (connections_.count(connection->id())) connection->late(queue);
+  }
+  sweeper_.expires_after(kSweep);
+  sweeper_.async_wait([this](error_code ec) {
+    if (!ec) sweep();
+  });
+}
+
+}  // namespace cairnjunction::jsonrpc
--- /dev/null
+++ b/src/jsonrpc/session_table.cpp
@@ -0,0 +1,111 @@
+// Named sessions: what was answered.
+#include "jsonrpc/session_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cairnjunction::jsonrpc {
+
+SessionTable::Opened SessionTable::open(Time now, std::string_view name, bool resume, Id& id) {
+  expire(now);
+  const std::string key(name);
+  if (const auto known = byName_.find(key); known != byName_.end()) {
+    id = known->second;
+    Session& session = sessions_.at(id);
+    session.attached = true;
+    session.touched = now;
+    return Opened::resumed;
+  }
+  if (resume) return Opened::notHeld;
+  if (sessions_.size() >= limits_.sessions) return Opened::full;
+  id = ++last_;
+  Session& session = sessions_[id];
+  session.name = key;
+  session.touched = now;
+  byName_.emplace(key, id);
+  return Opened::fresh;
+}
+
+void SessionTable::detach(Time now, Id id) {
+  const auto it = sessions_.find(id);
+  if (it == sessions_.end()) return;
+  it->second.attached = false;
+  it->second.touched = now;
+  due_.push({now + limits_.ttl, id, {}});
+}
+
+SessionTable::Entry* SessionTable::find(Id id, const std::string& key) {
+  const auto session = sessions_.find(id);
+  if (session == sessions_.end()) return nullptr;
+  const auto entry = session->second.entries.find(key);
+  return entry == session->second.entries.end() ? nullptr : &entry->second;
+}
+
+SessionTable::Found SessionTable::begin(Time now, Id id, const std::string& key, std::uint64_t print,
+                                        std::uint64_t ticket) {
+  expire(now);
+  if (const Entry* known = find(id, key)) {
+    if (known->print != print) return {Begun::different, 0, nullptr};
+    if (known->done) return {Begun::answered, known->ticket, &known->answer};
+    return {Begun::running, known->ticket, nullptr};
+  }
+  const auto it = sessions_.find(id);
+  const std::size_t cost = kEntryCost + key.size();
+  // Danger: to make room by dropping an old answer would run its call again when it is repeated.
+  if (it == sessions_.end() || entries_ >= limits_.entries ||
+      it->second.entries.size() >= limits_.entriesOfOne || bytes_ + cost > limits_.bytes)
+    return {};
+  Entry& entry = it->second.entries[key];
+  entry.print = print;
+  entry.ticket = ticket;
+  ++entries_;
+  bytes_ += cost;
+  return {Begun::first, ticket, nullptr};
+}
+
+void SessionTable::answered(Time now, Id id, const std::string& key, Result answer) {
+  Entry* entry = find(id, key);
+  if (!entry || entry->done) return;
+  bytes_ += answer.json.size();
+  entry->answer = std::move(answer);
+  entry->done = true;
+  entry->due = now + limits_.ttl;
+  due_.push({entry->due, id, key});
+}
+
+void SessionTable::neverRan(Id id, const std::string& key) {
+  if (const auto it = sessions_.find(id); it != sessions_.end()) drop(it->second, key);
+}
+
+void SessionTable::drop(Session& session, const std::string& key) {
+  const auto entry = session.entries.find(key);
+  if (entry == session.entries.end()) return;
+  bytes_ -= kEntryCost + key.size() + entry->second.answer.json.size();
+  --entries_;
+  session.entries.erase(entry);
+}
+
+void SessionTable::expire(Time now) {
+  while (!due_.empty() && due_.top().at <= now) {
+    Due due = due_.top();
+    due_.pop();
+    const auto it = sessions_.find(due.session);
+    if (it == sessions_.end()) continue;
+    Session& session = it->second;
+    if (!due.key.empty()) {
+      const Entry* entry = find(due.session, due.key);
+      if (!entry || !entry->done) continue;
+      const Time real = std::max(entry->due, session.touched + limits_.ttl);
+      if (real > now) due_.push({real, due.session, std::move(due.key)});
+      else drop(session, due.key);
+      continue;
+    }
+    // Of several drops the last counts; one that was resumed since has none that is due.
+    if (session.attached || session.touched + limits_.ttl > now) continue;
+    while (!session.entries.empty()) drop(session, std::string(session.entries.begin()->first));
+    byName_.erase(session.name);
+    sessions_.erase(it);
+  }
+}
+
+}  // namespace cairnjunction::jsonrpc
