--- /dev/null
+++ b/src/app/demo.cpp
@@ -0,0 +1,111 @@
+// `cairnjunction demo`.
+#include "app/demo.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <vector>
+
+#include "app/gateway.hpp"
+#include "standins/discovery.hpp"
+#include "standins/worker.hpp"
+
+namespace cairnjunction {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using nlohmann::json;
+
+json classOf(const char* name, const char* effect, int aimMs, int giveUpMs, double worth) {
+  return {{"name", name},
+          {"effect", effect},
+          {"group", "zone"},
+          {"points", worth},
+          {"aimNs", aimMs * 1'000'000LL},
+          {"giveUpNs", giveUpMs * 1'000'000LL},
+          {"windowNs", 2'000'000'000}};
+}
+
+json demoConfig(const std::string& listen, const std::string& discovery) {
+  return {{"name", "demo"},
+          {"listen", listen},
+          {"discovery", discovery},
+          {"limits", {{"sockets", 1024}, {"memory_mb", 192}}},
+          {"settings",
+           {{"zone", "brasov"},
+            {"registryMode", "ask"},
+            {"stepNs", 5'000'000},
+            {"ceilings",
+             {{"cancel", true},
+              {"maxAttempts", 6},
+              {"retryAfter", true},
+              {"maxRetryAfterNs", 1'000'000'000},
+              {"idleCloseNs", 15'000'000'000},
+              {"connectTimeoutNs", 250'000'000}}},
+            {"rules", {{"askWithinNs", 30'000'000'000}}},
+            {"grades",
+             {classOf("cut-plan", "retryable", 600, 1200, 12), classOf("stock-out", "fragile", 400, 2000, 1),
+              classOf("log-in", "dedup", 400, 1000, 1)}}}}};
+}
+
+json demoJsonRpc(const std::string& listen, bool workers) {
+  return {
+      {"listen", listen},
+      {"methods", {{{"name", "cut-plan"}}, {{"name", "stock-out"}}, {{"name", "log-in"}, {"key", "/key"}}}},
+      {"workers", {{"protocol", workers ? "json-rpc" : "http"}}}};
+}
+
+std::string textOf(const tcp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+}  // namespace
+
+int runDemo(const DemoOptions& options, std::ostream& out) {
+  asio::io_context io(1);
+  asio::signal_set stops(io, SIGTERM, SIGINT);
+  const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  const std::string host = "127.0.0.1:";
+  standins::Ledger ledger;
+  std::vector<std::unique_ptr<standins::StandInWorker>> workers;
+  standins::StandInDiscovery discovery(io, any);
+  standins::WorkerOptions work;
+  work.workLeast = std::chrono::milliseconds(40);
+  work.workMost = std::chrono::milliseconds(120);
+  for (std::size_t i = 0; i < options.workers; ++i, ++work.seed) {
+    workers.push_back(std::make_unique<standins::StandInWorker>(io, any, work, ledger));
+    discovery.set("s-" + std::to_string(i), workers.back()->listening(), i % 2 ? "cluj" : "brasov");
+  }
+  json file = demoConfig(host + std::to_string(options.http), textOf(discovery.listening()));
+  file["known"] = discovery.list();
+  Config config = parseConfig(file, [](const char*) { return nullptr; });
+  jsonrpc::Settings settings =
+      jsonrpc::parseSettings(demoJsonRpc(host + std::to_string(options.jsonRpc), options.jsonRpcWorkers));
+  jsonrpc::resolve(settings, config.module);
+  Gateway gateway(
+      io, config, {}, [](const std::string&) {}, settings);
+  const std::string http = textOf(gateway.listening()), rpc = textOf(gateway.listeningJsonRpc());
+  const std::string port = std::to_string(gateway.listeningJsonRpc().port());
+  out << "gateway for HTTP at " << http << ", for JSON-RPC at " << rpc << "; " << options.workers
+      << " workers, by " << (options.jsonRpcWorkers ? "JSON-RPC" : "HTTP") << "\n\n"
+      << "  curl -i http://" << http << "/cut-plan/log-7 -H 'X-Request-Id: r1'\n"
+      << "  curl -i http://" << http << "/stock-out -H 'X-Request-Id: r2' -d '{\"log\":7}'\n"
+      << "  bash -c 'exec 3<>/dev/tcp/127.0.0.1/" << port
+      << "; echo "
+         "\"{\\\"jsonrpc\\\":\\\"2.0\\\",\\\"id\\\":1,\\\"method\\\":\\\"stock-out\\\",\\\"params\\\":{"
+         "\\\"log\\\":7}}\" "
+         ">&3; head -n1 <&3'\n\nCtrl-C ends it.\n"
+      << std::flush;
+  stops.async_wait([&](boost::system::error_code ec, int) {
+    if (!ec) gateway.drain([&] { io.stop(); });
+  });
+  io.run();
+  out << "the workers ran " << ledger.runs() << " calls\n";
+  return 0;
+}
+
+}  // namespace cairnjunction
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,4 +1,5 @@
-// The gateway as a program: configuration, signals, exit codes.
+// The program: command line, configuration, signals, exit codes.
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -6,56 +7,134 @@
 #include <exception>
 #include <iostream>
 
+#include "app/demo.hpp"
 #include "app/gateway.hpp"
 #include "config/config.hpp"
+#include "jsonrpc/settings.hpp"
 
 namespace {
 
 constexpr int kFailed = 1, kBadConfig = 2;
 
+using cairnjunction::BadConfig;
 using cairnjunction::Config;
 using cairnjunction::Reading;
+namespace jsonrpc = cairnjunction::jsonrpc;
+
+struct Files {
+  std::string config, jsonRpc;  // empty: GW_CONFIG; no JSON-RPC
+};
 
 void log(const std::string& line) { std::cerr << line << '\n'; }
 
-Config readFile(Reading reading) {
-  return cairnjunction::readConfig([](const char* name) { return std::getenv(name); }, reading);
+Config readFile(const Files& files, Reading reading) {
+  return cairnjunction::readConfig(
+      [&](const char* name) -> const char* {
+        if (std::string_view(name) == "GW_CONFIG" && !files.config.empty()) return files.config.c_str();
+        return std::getenv(name);
+      },
+      reading);
+}
+
+jsonrpc::Settings readJsonRpc(const Files& files, Config& config) {
+  if (files.jsonRpc.empty()) return {};
+  jsonrpc::Settings settings = jsonrpc::readSettings(files.jsonRpc);
+  jsonrpc::resolve(settings, config.module);
+  return settings;
 }
 
 // SIGHUP: the file is read anew. A bad one is a line in the log, and the old settings go on.
-void reloadAtEachHangup(boost::asio::signal_set& hangups, cairnjunction::Gateway& gateway) {
+void reloadAtEachHangup(boost::asio::signal_set& hangups, cairnjunction::Gateway& gateway,
+                        const Files& files) {
   hangups.async_wait([&](boost::system::error_code ec, int) {
     if (ec) return;
     try {
-      gateway.reload(readFile(Reading::again));
+      gateway.reload(readFile(files, Reading::again));
       log("configuration read again");
     } catch (const std::exception& bad) {
       log(std::string("configuration not taken: ") + bad.what());
     }
-    reloadAtEachHangup(hangups, gateway);
+    reloadAtEachHangup(hangups, gateway, files);
   });
 }
 
-int serve() {
+int serve(const Files& files) {
   boost::asio::io_context io(1);
   // Danger: until they are taken, signals end the process; so before anything that takes its time.
   boost::asio::signal_set stops(io, SIGTERM, SIGINT), hangups(io, SIGHUP);
-  cairnjunction::Gateway gateway(io, readFile(Reading::atStart), {}, log);
+  Config config = readFile(files, Reading::atStart);
+  const jsonrpc::Settings settings = readJsonRpc(files, config);
+  cairnjunction::Gateway gateway(io, config, {}, log, settings);
   stops.async_wait([&](boost::system::error_code ec, int) {
     if (!ec) gateway.drain([&] { io.stop(); });
   });
-  reloadAtEachHangup(hangups, gateway);
+  reloadAtEachHangup(hangups, gateway, files);
   io.run();
   return 0;
 }
 
+// What the files say, without a socket. Variables of the environment are not asked.
+int check(const Files& files) {
+  Config config = cairnjunction::readConfig([&](const char* name) -> const char* {
+    return std::string_view(name) == "GW_CONFIG" ? files.config.c_str() : nullptr;
+  });
+  const std::size_t classes = config.module.classes.size();
+  const jsonrpc::Settings settings = readJsonRpc(files, config);
+  std::cout << files.config << ": good: " << classes << " classes, listens on " << config.listen << '\n';
+  if (!files.jsonRpc.empty()) {
+    std::cout << files.jsonRpc << ": good: " << settings.methods.size() << " methods, ";
+    if (settings.listen) std::cout << "listens on " << *settings.listen;
+    else std::cout << "no listener";
+    std::cout << ", workers speak " << (settings.workers.jsonRpc ? "JSON-RPC" : "HTTP") << '\n';
+  }
+  return 0;
+}
+
+int run(int argc, char** argv) {
+  CLI::App app{
+      "cairnjunction: a gateway that scores requests by worth, sends them to an idle server and refuses "
+      "the lowest scores first under overload. With no command it serves."};
+  app.set_version_flag("--version", std::string("cairnjunction ") + CAIRNJUNCTION_VERSION);
+  app.footer(
+      "Exit codes: 0 stopped, or good; 1 failed; 2 bad configuration or command line.\n"
+      "Signals: SIGTERM finishes what was taken and ends; SIGHUP reads the configuration again.");
+  Files files;
+  app.add_option("--config", files.config, "the configuration (otherwise $GW_CONFIG names it)");
+  app.add_option("--jsonrpc", files.jsonRpc, "settings of JSON-RPC (docs/operators/jsonrpc.md); off without");
+  CLI::App* checking = app.add_subcommand("check", "check a configuration and end");
+  Files checked;
+  checking->add_option("FILE", checked.config, "the configuration")->required();
+  checking->add_option("--jsonrpc", checked.jsonRpc, "settings of JSON-RPC, checked against it");
+  cairnjunction::DemoOptions demo;
+  CLI::App* showing = app.add_subcommand(
+      "demo", "serve with stand-in workers and discovery on loopback, and say what to try");
+  showing->add_option("--workers", demo.workers, "")->check(CLI::Range(1, 100))->capture_default_str();
+  showing->add_option("--http-port", demo.http, "0: any free one")->capture_default_str();
+  showing->add_option("--jsonrpc-port", demo.jsonRpc, "0: any free one")->capture_default_str();
+  showing->add_flag("--jsonrpc-workers", demo.jsonRpcWorkers, "speak JSON-RPC to the workers");
+  app.require_subcommand(0, 1);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& end) {
+    return app.exit(end) == 0 ? 0 : kBadConfig;
+  }
+  if (*checking) return check(checked);
+  if (*showing) return cairnjunction::runDemo(demo, std::cout);
+  if (files.config.empty() && !std::getenv("GW_CONFIG"))
+    throw BadConfig("no configuration: give --config FILE or set GW_CONFIG; 'cairnjunction demo' needs none");
+  return serve(files);
+}
+
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);  // a peer that left shows as an error of the write
   try {
-    return serve();
-  } catch (const cairnjunction::BadConfig& bad) {
+    return run(argc, argv);
+  } catch (const BadConfig& bad) {
+    std::cerr << "cairnjunction: " << bad.what() << '\n';
+    return kBadConfig;
+  } catch (const jsonrpc::BadSettings& bad) {
     std::cerr << "cairnjunction: " << bad.what() << '\n';
     return kBadConfig;
   } catch (const std::exception& bad) {
--- a/test.sh
+++ b/test.sh
@@ -3,9 +3,13 @@
 # undefined-behaviour sanitizers.
 set -eu
 cd "$(dirname "$0")"
-dir=build-test sanitize=OFF
-if [ "${1:-}" = sanitize ]; then dir=build-sanitize sanitize=ON; fi
-cmake -B "$dir" -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_FLAGS=-Werror \
+dir=build-test sanitize=OFF flags=
+if [ "${1:-}" = sanitize ]; then
+  dir=build-sanitize sanitize=ON
+  # Instrumented, the optimiser takes minutes for a file of tests.
+  flags="-DCMAKE_CXX_FLAGS_RELWITHDEBINFO=-O1"
+fi
+cmake -B "$dir" -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_FLAGS=-Werror $flags \
   -DOCHREHILL_TESTS=ON -DOCHREHILL_SANITIZE="$sanitize"
 cmake --build "$dir" -j"$(nproc)"
 ctest --test-dir "$dir" --output-on-failure -j"$(nproc)"
