--- /dev/null
+++ b/tests/core/engine_test.cpp
@@ -0,0 +1,288 @@
+// The engine alone, in a time of its own: what it enforces whatever the protocols around it do. A scripted
+// upstream ends attempts in any order, also at once; a seed reproduces a run.
+#include "core/engine.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+namespace cairnjunction {
+namespace {
+
+using namespace std::chrono_literals;
+using ochrehill::Duration;
+using ochrehill::Effect;
+using ochrehill::ListKind;
+using ochrehill::Outcome;
+using ochrehill::Time;
+
+ochrehill::Settings settings(std::uint64_t seed) {
+  ochrehill::Settings s;
+  s.seed = seed;
+  s.cancel = true;
+  s.maxAttempts = 6;
+  s.step = 5ms;
+  for (const auto& [name, effect] : {std::pair{"read", Effect::retryable},
+                                     std::pair{"write", Effect::fragile}, std::pair{"put", Effect::dedup}}) {
+    ochrehill::ClassSettings c;
+    c.name = name;
+    c.effect = effect;
+    c.aim = 400ms;
+    c.giveUp = 1s;
+    c.window = 2s;
+    s.classes.push_back(c);
+  }
+  return s;
+}
+
+struct TestRuntime final : Runtime {
+  Time at = 24h;
+  Time wake{};
+  int subscribed = 0;
+  Time now() const override { return at; }
+  void wakeAt(Time t) override { wake = t; }
+  void subscribe() override { ++subscribed; }
+  void log(const std::string&) override {}
+};
+
+struct TestUpstream final : Upstream {
+  struct Out {
+    ochrehill::HostId host;
+    std::string name;
+    Duration limit;
+  };
+  Engine* engine = nullptr;
+  std::map<CallId, std::map<std::uint32_t, Out>> out;
+  std::map<std::string, int> started;
+  std::function<std::optional<Outcome>()> atOnce;  // how an attempt ends within start(), if it does
+  std::vector<AttemptKey> cancels;
+  bool endCancelled = true;
+  std::size_t overlaps = 0, late = 0;
+  TestRuntime* runtime = nullptr;
+  std::map<std::string, Time> deadlines;
+
+  void start(AttemptKey key, ochrehill::HostId host, const Call& call, Duration limit) override {
+    overlaps += !out[key.call].empty();
+    late += deadlines.count(call.name) && runtime->at >= deadlines[call.name];
+    ++started[call.name];
+    out[key.call][key.attempt] = {host, call.name, limit};
+    if (atOnce)
+      if (const auto outcome = atOnce()) end(key, *outcome);
+  }
+  void cancel(AttemptKey key) override {
+    cancels.push_back(key);
+    if (endCancelled && out[key.call].count(key.attempt)) end(key, Outcome::cancelled);
+  }
+  void closeIdle(ochrehill::HostId) override {}
+  void forget(ochrehill::HostId) override {}
+  void end(AttemptKey key, Outcome outcome) {
+    const Out o = out.at(key.call).at(key.attempt);
+    out[key.call].erase(key.attempt);
+    AttemptEnd e{key, o.host, outcome, 1ms, {}};
+    e.answer.body = o.name;
+    engine->attemptEnded(std::move(e));
+  }
+  std::vector<AttemptKey> open() const {
+    std::vector<AttemptKey> keys;
+    for (const auto& [call, attempts] : out)
+      for (const auto& [attempt, unused] : attempts) keys.push_back({call, attempt});
+    return keys;
+  }
+};
+
+struct TestSink final : ReplySink {
+  std::map<std::uint64_t, std::vector<Reply>> replies;
+  std::function<void(std::uint64_t)> then;
+  void onReply(std::uint64_t ticket, Reply reply) override {
+    replies[ticket].push_back(std::move(reply));
+    if (then) then(ticket);
+  }
+};
+
+class EngineTest : public ::testing::Test {
+ protected:
+  TestRuntime runtime;
+  TestUpstream upstream;
+  TestSink sink;
+  std::unique_ptr<Engine> engine;
+  std::uint64_t ticket = 0;
+
+  void start(std::uint64_t seed = 7, int hosts = 3) {
+    engine = std::make_unique<Engine>(settings(seed), runtime, upstream);
+    upstream.engine = engine.get();
+    upstream.runtime = &runtime;
+    std::vector<ochrehill::HostEntry> entries;
+    for (int i = 0; i < hosts; ++i) {
+      ochrehill::HostEntry e;
+      e.address = "h" + std::to_string(i);
+      entries.push_back(e);
+    }
+    engine->tellHosts(ListKind::replace, entries);
+  }
+  CallId take(std::uint32_t cls, const std::string& name, Duration left = 900ms) {
+    Call call;
+    call.name = name;
+    call.facts.classIndex = cls;
+    call.facts.left = left;
+    upstream.deadlines[name] = runtime.at + left;
+    CallId id = 0;
+    EXPECT_EQ(engine->take(std::move(call), sink, ++ticket, &id), Engine::Taken::yes);
+    return id;
+  }
+  void pass(Duration time) {
+    const Time until = runtime.at + time;
+    while (runtime.wake > Time{} && runtime.wake <= until) {
+      runtime.at = std::max(runtime.at, runtime.wake);
+      runtime.wake = Time{};
+      engine->wake();
+    }
+    runtime.at = until;
+  }
+};
+
+TEST_F(EngineTest, ServedOnceWithTheWorkersAnswer) {
+  start();
+  const CallId id = take(1, "a");
+  ASSERT_EQ(upstream.open().size(), 1u);
+  upstream.end({id, 0}, Outcome::served);
+  ASSERT_EQ(sink.replies[1].size(), 1u);
+  EXPECT_EQ(sink.replies[1][0].verdict, Verdict::served);
+  EXPECT_EQ(sink.replies[1][0].message.body, "a");
+  EXPECT_EQ(engine->openCalls(), 0u);
+}
+
+TEST_F(EngineTest, TheNameOfAnOpenCallIsNotTakenTwiceAndIsFreeAfterwards) {
+  start();
+  const CallId id = take(1, "a");
+  Call again;
+  again.name = "a";
+  again.facts.classIndex = 1;
+  again.facts.left = 900ms;
+  EXPECT_EQ(engine->take(again, sink, 99), Engine::Taken::nameInUse);
+  EXPECT_EQ(upstream.started["a"], 1);
+  upstream.end({id, 0}, Outcome::served);
+  EXPECT_EQ(engine->take(again, sink, 99), Engine::Taken::yes);
+}
+
+TEST_F(EngineTest, TheNameStaysTakenWhileAnAttemptOfAnAbandonedCallIsOut) {
+  upstream.endCancelled = false;
+  start();
+  const CallId id = take(1, "a");
+  engine->abandon(id);
+  EXPECT_EQ(upstream.cancels.size(), 1u);
+  Call again;
+  again.name = "a";
+  EXPECT_EQ(engine->take(again, sink, 99), Engine::Taken::nameInUse) << "it may still run";
+  upstream.end({id, 0}, Outcome::cancelled);
+  EXPECT_EQ(engine->openCalls(), 0u);
+  EXPECT_TRUE(sink.replies.empty()) << "nobody waits for it";
+}
+
+TEST_F(EngineTest, AnEndThatComesTwiceOrOfNobodyIsIgnored) {
+  start();
+  const CallId id = take(1, "a");
+  engine->attemptEnded({{id, 0}, 0, Outcome::served, 1ms, {}});
+  engine->attemptEnded({{id, 0}, 0, Outcome::served, 1ms, {}});
+  engine->attemptEnded({{77, 0}, 0, Outcome::reset, 1ms, {}});
+  EXPECT_EQ(sink.replies[1].size(), 1u);
+}
+
+TEST_F(EngineTest, AtTheDeadlineItIsAnsweredThoughTheUpstreamSaysNothing) {
+  upstream.endCancelled = false;
+  start();
+  take(1, "unsafe");
+  take(0, "safe");
+  pass(900ms);
+  ASSERT_EQ(sink.replies[1].size(), 1u);
+  EXPECT_EQ(sink.replies[1][0].verdict, Verdict::failed) << "it may have run";
+  ASSERT_EQ(sink.replies[2].size(), 1u);
+  EXPECT_EQ(sink.replies[2][0].verdict, Verdict::refused);
+  EXPECT_EQ(upstream.started["unsafe"], 1);
+}
+
+TEST_F(EngineTest, AReplyMayHandInTheNextCallFromWithin) {
+  start();
+  upstream.atOnce = [] { return Outcome::served; };
+  int more = 50;
+  sink.then = [&](std::uint64_t) {
+    if (more-- > 0) take(0, "next" + std::to_string(more));
+  };
+  take(0, "first");
+  EXPECT_EQ(sink.replies.size(), 51u);
+  EXPECT_EQ(engine->openCalls(), 0u);
+}
+
+// Random events of all kinds. Whatever happens: each call has one reply, or none if abandoned; no attempts of
+// one call overlap; none starts late; an unsafe call is started again only if no attempt of it may have run.
+class EngineProperty : public EngineTest, public ::testing::WithParamInterface<int> {};
+
+TEST_P(EngineProperty, OneAnswerAndNoOverlapWhateverHappens) {
+  std::mt19937_64 random(static_cast<std::uint64_t>(GetParam()));
+  const auto below = [&](std::uint64_t n) { return random() % n; };
+  upstream.endCancelled = GetParam() % 2 == 0;
+  start(random(), 4);
+  const std::vector<Outcome> ends{Outcome::served, Outcome::error,         Outcome::full,  Outcome::timeout,
+                                  Outcome::reset,  Outcome::connectFailed, Outcome::served};
+  if (GetParam() % 3 == 0)
+    upstream.atOnce = [&]() -> std::optional<Outcome> {
+      if (below(4)) return std::nullopt;
+      return below(2) ? Outcome::connectFailed : Outcome::full;
+    };
+  std::map<CallId, std::uint64_t> taken;
+  std::set<std::uint64_t> abandoned;
+  std::map<std::string, bool> ranOnce;  // of unsafe calls: an attempt may have run
+  std::map<std::string, int> startedAfter;
+  for (int i = 0; i < 3000; ++i) {
+    switch (below(8)) {
+      case 0:
+      case 1:
+      case 2: {
+        const auto cls = static_cast<std::uint32_t>(below(3));
+        const std::string name = std::to_string(cls) + "-" + std::to_string(i);
+        const CallId id = take(cls, name, std::chrono::milliseconds(below(1000)));
+        taken[id] = ticket;
+        break;
+      }
+      case 3:
+      case 4:
+      case 5: {
+        const auto open = upstream.open();
+        if (open.empty()) break;
+        const AttemptKey key = open[below(open.size())];
+        const Outcome outcome = ends[below(ends.size())];
+        const std::string name = upstream.out[key.call][key.attempt].name;
+        const int before = upstream.started[name];
+        const bool mayHaveRun = outcome != Outcome::full && outcome != Outcome::connectFailed;
+        if (mayHaveRun) ranOnce[name] = true;
+        upstream.end(key, outcome);
+        if (name[0] == '1' && ranOnce[name]) EXPECT_EQ(upstream.started[name], before) << name;
+        break;
+      }
+      case 6: {
+        if (taken.empty()) break;
+        auto it = taken.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(below(taken.size())));
+        if (!sink.replies.count(it->second)) abandoned.insert(it->second);
+        engine->abandon(it->first);
+        break;
+      }
+      case 7: pass(std::chrono::milliseconds(below(40)));
+    }
+  }
+  pass(2s);
+  for (const AttemptKey key : upstream.open()) upstream.end(key, Outcome::timeout);
+  pass(2s);
+  EXPECT_EQ(upstream.overlaps, 0u);
+  EXPECT_EQ(upstream.late, 0u);
+  EXPECT_EQ(engine->violations(), 0u) << "the module asked for nothing that had to be held back";
+  EXPECT_EQ(engine->openCalls(), 0u);
+  for (const auto& [id, t] : taken)
+    EXPECT_EQ(sink.replies.count(t) ? sink.replies[t].size() : 0u, abandoned.count(t) ? 0u : 1u) << t;
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, EngineProperty, ::testing::Range(1, 25));
+
+}  // namespace
+}  // namespace cairnjunction
--- /dev/null
+++ b/tests/jsonrpc/session_table_test.cpp
@@ -0,0 +1,160 @@
+// The table of sessions alone, in a time of its own.
+#include "jsonrpc/session_table.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace cairnjunction::jsonrpc {
+namespace {
+
+using namespace std::chrono_literals;
+using Begun = SessionTable::Begun;
+using Opened = SessionTable::Opened;
+using Time = SessionTable::Time;
+
+SessionTable::Limits limits() {
+  SessionTable::Limits l;
+  l.ttl = 60s;
+  return l;
+}
+
+TEST(SessionTable, HoldsAnAnswerForItsTimeAndForgetsIt) {
+  SessionTable table(limits());
+  SessionTable::Id id = 0;
+  ASSERT_EQ(table.open(0s, "yard", false, id), Opened::fresh);
+  EXPECT_EQ(table.begin(1s, id, "n1", 5, 77).begun, Begun::first);
+  const auto running = table.begin(2s, id, "n1", 5, 78);
+  EXPECT_EQ(running.begun, Begun::running);
+  EXPECT_EQ(running.ticket, 77u);
+  table.answered(3s, id, "n1", {false, "42"});
+  const auto answered = table.begin(62s, id, "n1", 5, 79);
+  ASSERT_EQ(answered.begun, Begun::answered);
+  EXPECT_EQ(answered.answer->json, "42");
+  EXPECT_EQ(table.begin(62s, id, "n1", 6, 79).begun, Begun::different);
+  EXPECT_EQ(table.begin(63s, id, "n1", 5, 80).begun, Begun::first) << "its time is over";
+}
+
+TEST(SessionTable, WhatWasHeldAtADropIsHeldForItsTimeFromTheDropOn) {
+  SessionTable table(limits());
+  SessionTable::Id id = 0;
+  table.open(0s, "yard", false, id);
+  table.begin(0s, id, "n1", 5, 1);
+  table.answered(1s, id, "n1", {false, "1"});
+  table.detach(50s, id);
+  table.expire(100s);
+  EXPECT_EQ(table.entries(), 1u) << "answered 99 s ago, dropped 50 s ago";
+  SessionTable::Id again = 0;
+  ASSERT_EQ(table.open(105s, "yard", true, again), Opened::resumed);
+  EXPECT_EQ(again, id);
+  EXPECT_EQ(table.begin(160s, id, "n1", 5, 2).begun, Begun::answered);
+}
+
+TEST(SessionTable, ADetachedSessionIsForgottenAndResumingSaysSo) {
+  SessionTable table(limits());
+  SessionTable::Id id = 0;
+  table.open(0s, "yard", false, id);
+  table.begin(0s, id, "n1", 5, 1);
+  table.detach(1s, id);
+  table.open(30s, "yard", false, id);
+  table.detach(40s, id);
+  table.expire(99s);
+  EXPECT_EQ(table.sessions(), 1u) << "the last drop counts";
+  EXPECT_EQ(table.open(100s, "yard", true, id), Opened::notHeld);
+  EXPECT_EQ(table.entries(), 0u);
+  EXPECT_EQ(table.bytes(), 0u);
+  table.answered(101s, id, "n1", {false, "late"});  // its run ends later than the session: for nobody
+  EXPECT_EQ(table.bytes(), 0u);
+}
+
+TEST(SessionTable, FullItTakesNothingMoreAndDropsNothing) {
+  SessionTable::Limits l = limits();
+  l.sessions = 2;
+  l.entries = 3;
+  l.entriesOfOne = 2;
+  SessionTable table(l);
+  SessionTable::Id a = 0, b = 0, c = 0;
+  table.open(0s, "a", false, a);
+  table.open(0s, "b", false, b);
+  EXPECT_EQ(table.open(0s, "c", false, c), Opened::full);
+  EXPECT_EQ(table.begin(0s, a, "n1", 1, 1).begun, Begun::first);
+  EXPECT_EQ(table.begin(0s, a, "n2", 1, 2).begun, Begun::first);
+  EXPECT_EQ(table.begin(0s, a, "n3", 1, 3).begun, Begun::full) << "one client has no more";
+  EXPECT_EQ(table.begin(0s, b, "n1", 1, 4).begun, Begun::first);
+  EXPECT_EQ(table.begin(0s, b, "n2", 1, 5).begun, Begun::full);
+  EXPECT_EQ(table.begin(0s, a, "n1", 1, 6).begun, Begun::running);
+  table.neverRan(a, "n1");
+  EXPECT_EQ(table.begin(0s, b, "n2", 1, 7).begun, Begun::first);
+}
+
+TEST(SessionTable, BytesAreBounded) {
+  SessionTable::Limits l = limits();
+  l.bytes = 1000;
+  SessionTable table(l);
+  SessionTable::Id id = 0;
+  table.open(0s, "a", false, id);
+  EXPECT_EQ(table.begin(0s, id, "n1", 1, 1).begun, Begun::first);
+  table.answered(0s, id, "n1", {false, std::string(900, 'x')});
+  EXPECT_EQ(table.begin(0s, id, "n2", 1, 2).begun, Begun::full);
+  EXPECT_EQ(table.begin(59s, id, "n1", 1, 3).begun, Begun::answered);
+  EXPECT_EQ(table.begin(61s, id, "n2", 1, 4).begun, Begun::first);
+}
+
+// Against a simple model: an id that was begun and answered less than a time to live ago is never first
+// again.
+TEST(SessionTable, NeverASecondRunWithinTheTimeToLive) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::mt19937_64 random(seed);
+    SessionTable::Limits l = limits();
+    l.entries = 40;
+    SessionTable table(l);
+    Time now = 0s;
+    std::map<std::string, Time> heldUntil;  // by session and id
+    std::map<std::string, bool> running;
+    std::map<int, SessionTable::Id> attached;
+    for (int i = 0; i < 4000; ++i) {
+      now += std::chrono::milliseconds(random() % 900);
+      const int who = static_cast<int>(random() % 3);
+      const std::string name = "session" + std::to_string(who);
+      if (!attached.count(who)) {
+        SessionTable::Id id = 0;
+        const Opened opened = table.open(now, name, false, id);
+        ASSERT_NE(opened, Opened::full);
+        attached[who] = id;
+        if (opened == Opened::fresh)
+          for (auto* map : {&running})
+            std::erase_if(*map, [&](const auto& e) { return e.first[0] == '0' + who; });
+        continue;
+      }
+      const std::string key = "n" + std::to_string(random() % 12), mine = std::to_string(who) + key;
+      switch (random() % 4) {
+        case 0: {
+          const auto begun = table.begin(now, attached[who], key, 1, 1).begun;
+          if (running[mine]) EXPECT_EQ(begun, Begun::running);
+          else if (heldUntil.count(mine) && heldUntil[mine] > now) EXPECT_EQ(begun, Begun::answered) << mine;
+          if (begun == Begun::first) running[mine] = true;
+          break;
+        }
+        case 1:
+          if (running[mine]) {
+            table.answered(now, attached[who], key, {false, "1"});
+            running[mine] = false;
+            heldUntil[mine] = now + 60s;
+          }
+          break;
+        case 2:
+          if (random() % 8 == 0) {
+            table.detach(now, attached[who]);
+            attached.erase(who);
+          }
+          break;
+        case 3: table.expire(now);
+      }
+      ASSERT_LE(table.entries(), 40u);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cairnjunction::jsonrpc
