--- a/src/jsonrpc/parser.cpp
+++ b/src/jsonrpc/parser.cpp
@@ -47,27 +47,27 @@
 bool keyOf(const dom::element& id, std::string& key) {
   std::string_view text;
   if (!id.get_string().get(text)) {
-    key.assign("s").append(text);
+    key.assign(1, 's').append(text);
     return true;
   }
   std::int64_t whole = 0;
   if (!id.get_int64().get(whole)) {
-    key = "n" + std::to_string(whole);
+    key.assign(1, 'n').append(std::to_string(whole));
     return true;
   }
   std::uint64_t large = 0;
   if (!id.get_uint64().get(large)) {
-    key = "n" + std::to_string(large);
+    key.assign(1, 'n').append(std::to_string(large));
     return true;
   }
   double number = 0;
   if (id.get_double().get(number)) return false;
   if (std::abs(number) <= kExactMost && number == std::floor(number)) {
-    key = "n" + std::to_string(static_cast<std::int64_t>(number));
+    key.assign(1, 'n').append(std::to_string(static_cast<std::int64_t>(number)));
   } else {
     std::array<char, 40> buffer{};
     const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), number).ptr;
-    key.assign("n").append(buffer.data(), end);
+    key.assign(1, 'n').append(buffer.data(), end);
   }
   return true;
 }
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -3,6 +3,7 @@
 #include <spawn.h>
 #include <sys/wait.h>
 
+#include <array>
 #include <cstdio>
 #include <fstream>
 #include <thread>
@@ -13,7 +14,7 @@
 namespace cairnjunction::testing {
 namespace {
 
-std::string program;  // set once, by main
+std::string program, deploy;  // set once, by main
 
 pid_t run(const std::string& variable) {
   std::vector<char*> argv{program.data(), nullptr};
@@ -30,6 +31,51 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+// What the program prints and its exit code, with no GW_ variable set.
+std::pair<std::string, int> say(const std::string& words) {
+  const std::string line = "env -i " + program + " " + words + " 2>&1";
+  FILE* pipe = popen(line.c_str(), "r");
+  std::string out;
+  std::array<char, 4096> chunk;
+  while (const std::size_t n = fread(chunk.data(), 1, chunk.size(), pipe)) out.append(chunk.data(), n);
+  const int status = pclose(pipe);
+  return {out, WIFEXITED(status) ? WEXITSTATUS(status) : -1};
+}
+
+TEST(CommandLine, HelpAndVersionNeedNoConfiguration) {
+  const auto [help, helped] = say("--help");
+  EXPECT_EQ(helped, 0);
+  for (const char* word : {"Usage", "check", "demo", "--config", "--jsonrpc"})
+    EXPECT_NE(help.find(word), std::string::npos) << word;
+  const auto [version, told] = say("--version");
+  EXPECT_EQ(told, 0);
+  EXPECT_EQ(version.rfind("cairnjunction ", 0), 0u);
+  EXPECT_EQ(say("demo --help").second, 0);
+}
+
+TEST(CommandLine, MistakesAreNamedAndEndItWithTwo) {
+  const auto [none, ended] = say("");
+  EXPECT_EQ(ended, 2);
+  EXPECT_NE(none.find("--config"), std::string::npos) << none;
+  EXPECT_EQ(say("--nonsense").second, 2);
+  EXPECT_EQ(say("check").second, 2);
+  EXPECT_EQ(say("check /nonexistent").second, 2);
+  EXPECT_EQ(say("demo --workers 0").second, 2);
+}
+
+TEST(CommandLine, CheckReadsTheShippedFilesAndNamesWhatIsWrong) {
+  const std::string config = deploy + "/config.example.json", rpc = deploy + "/jsonrpc.json";
+  const auto [good, passed] = say("check " + config + " --jsonrpc " + rpc);
+  EXPECT_EQ(passed, 0) << good;
+  EXPECT_NE(good.find("3 methods"), std::string::npos) << good;
+  const std::string bad = ::testing::TempDir() + "bad_jsonrpc.json";
+  std::ofstream(bad) << R"({"listen":"127.0.0.1:0","methods":[{"name":"x","class":"unheard"}]})";
+  const auto [told, failed] = say("check " + config + " --jsonrpc " + bad);
+  EXPECT_EQ(failed, 2);
+  EXPECT_NE(told.find("'unheard'"), std::string::npos) << told;
+  std::remove(bad.c_str());
+}
+
 TEST(Program, BadConfigurationEndsIt) { EXPECT_EQ(exitCode(run("GW_CONFIG=/nonexistent")), 2); }
 
 class RunningProgram : public ::testing::Test {
@@ -96,7 +142,8 @@
 
 int main(int argc, char** argv) {
   ::testing::InitGoogleTest(&argc, argv);
-  if (argc < 2) return 1;
+  if (argc < 3) return 1;
   cairnjunction::testing::program = argv[1];
+  cairnjunction::testing::deploy = argv[2];
   return RUN_ALL_TESTS();
 }
--- a/tools/standins/replay.cpp
+++ b/tools/standins/replay.cpp
@@ -55,6 +55,7 @@
     socket_ = tcp::socket(state_->io);
     in_.clear();
     ++generation_;
+    dropAtReply_ = false;
     socket_.async_connect(state_->options.to, [self = shared_from_this()](error_code ec) {
       if (self->state_->over) return;
       if (ec) return self->again();
@@ -133,6 +134,7 @@
     if (state_->options.drop <= 0 ||
         static_cast<double>(state_->below(1'000'000)) >= state_->options.drop * 1e6)
       return;
+    if (state_->below(2)) return void(dropAtReply_ = true);
     timer_.expires_after(std::chrono::microseconds(state_->below(3000)));
     timer_.async_wait([self = shared_from_this(), mine = generation_](error_code ec) {
       if (!ec && mine == self->generation_) self->drop();
@@ -169,6 +171,7 @@
         ++self->state_->report.lostConnections;
         return self->lost();
       }
+      if (std::exchange(self->dropAtReply_, false)) return self->drop();  // halfway through it
       self->in_.append(self->chunk_.data(), n);
       std::size_t at = 0, end;
       while ((end = self->in_.find('\n', at)) != std::string::npos) {
@@ -222,7 +225,7 @@
   std::string in_;
   std::map<std::uint64_t, Asked> open_;
   std::uint64_t lastId_ = 0, generation_ = 0;
-  bool opened_ = false, finished_ = false;
+  bool opened_ = false, finished_ = false, dropAtReply_ = false;
 };
 
 void Replay::State::finish() {
