--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -76,11 +76,15 @@
     jsonrpc::FrontLimits& limits = jsonRpcSettings_.limits;
     limits.connections = std::min(limits.connections, clientConnections(config, true));
     limits.bytes = std::min(limits.bytes, (config.memoryMb << 20) / kBodyPart);
+    // Names of calls go into headers of workers that speak HTTP.
+    std::string prefix = config.name;
+    std::replace_if(
+        prefix.begin(), prefix.end(), [](char c) { return c <= ' ' || c >= 0x7f; }, '_');
     // New with each start: workers may still know names of the last one.
     const auto born =
         std::chrono::duration_cast<std::chrono::microseconds>(unixStart_.time_since_epoch()).count();
     jsonRpc_ = std::make_unique<jsonrpc::Front>(io, jsonRpcSettings_, engine_,
-                                                config.name + "-" + std::to_string(born) + "-");
+                                                prefix + "-" + std::to_string(born) + "-");
   }
   if (config.known) discovery_.knows(config.known->version);
   // The module asks discovery once it was given a list, an empty one too.
--- a/src/jsonrpc/upstream.cpp
+++ b/src/jsonrpc/upstream.cpp
@@ -49,6 +49,8 @@
 
 std::string textOf(std::uint64_t id, const Call& call, Duration limit, Parser& parser) {
   const Message& m = call.message;
+  // Danger: names and keys of HTTP clients may hold any bytes, and what is no UTF-8 is no JSON.
+  if (!utf8(call.name) || !utf8(call.key)) return {};
   std::string text;
   text.reserve(160 + m.body.size() + call.name.size() + call.key.size());
   text.append("{\"jsonrpc\":\"2.0\",\"id\":").append(std::to_string(id)).append(",\"method\":");
--- a/tests/app/gateway_test.cpp
+++ b/tests/app/gateway_test.cpp
@@ -12,9 +12,8 @@
 namespace cairnjunction::testing {
 namespace {
 
-class GatewayTest : public ::testing::Test {
+class GatewayTest : public LoopTest {
  protected:
-  asio::io_context io;
   FakeDiscovery discovery{io};
   std::vector<std::unique_ptr<Peer>> hosts;
   json config = configJson();
@@ -41,16 +40,6 @@
     gateway = std::make_unique<Gateway>(io, parseConfig(config, [](const char*) { return nullptr; }), waits,
                                         [](const std::string&) {});
   }
-  template <class Predicate>
-  ::testing::AssertionResult until(Predicate predicate) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!predicate()) {
-      if (std::chrono::steady_clock::now() > end) return ::testing::AssertionFailure() << "waited in vain";
-      io.restart();
-      io.run_one_for(std::chrono::milliseconds(50));
-    }
-    return ::testing::AssertionSuccess();
-  }
   std::shared_ptr<Client> client() { return Client::connect(io, gateway->listening()); }
   std::string text(const std::string& kind, const std::string& headers = "", const std::string& body = "") {
     const std::string id = "X-Request-Id: r" + std::to_string(++serial) + "\r\n";
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -203,6 +203,28 @@
   EXPECT_EQ(upstream.started["unsafe"], 1);
 }
 
+TEST_F(EngineTest, TwoAttemptsOfACallNeverOverlapThoughTheModuleWereToldToTry) {
+  ochrehill::Settings s = settings(7);
+  s.parallelTries = true;  // a second copy when the first is slow
+  engine = std::make_unique<Engine>(s, runtime, upstream);
+  upstream.engine = engine.get();
+  upstream.runtime = &runtime;
+  ochrehill::HostEntry a, b;
+  a.address = "a";
+  b.address = "b";
+  engine->tellHosts(ListKind::replace, {a, b});
+  for (int i = 0; i < 20; ++i) upstream.end({take(0, "quick" + std::to_string(i)), 0}, Outcome::served);
+  const CallId slow = take(0, "slow");
+  pass(200ms);  // many times the usual
+  EXPECT_GT(engine->violations(), 0u) << "the module did try";
+  EXPECT_EQ(upstream.overlaps, 0u);
+  EXPECT_EQ(upstream.started["slow"], 1);
+  upstream.end({slow, 0}, Outcome::served);
+  ASSERT_EQ(sink.replies[ticket].size(), 1u);
+  EXPECT_EQ(sink.replies[ticket][0].verdict, Verdict::served);
+  EXPECT_EQ(engine->openCalls(), 0u);
+}
+
 TEST_F(EngineTest, AReplyMayHandInTheNextCallFromWithin) {
   start();
   upstream.atOnce = [] { return Outcome::served; };
--- a/tests/jsonrpc/front_test.cpp
+++ b/tests/jsonrpc/front_test.cpp
@@ -670,6 +670,9 @@
   EXPECT_EQ(json::parse(post("r2", "plain").body()), (json{{"path", "/write/7"}, {"body", "plain"}}));
   EXPECT_EQ(post("r3", "{\"bad\":1}").result_int(), 422u);
   EXPECT_EQ(workers[0]->requests[0]["call"]["name"], "r1");
+  EXPECT_EQ(post("\xff\xfe", "{}").result_int(), 502u) << "a name that can't be said in JSON";
+  EXPECT_EQ(post("r4", "\xff\xfe").result_int(), 502u);
+  EXPECT_EQ(runs(), 3u);
   EXPECT_EQ(workers[0]->connections.size(), 1u);
 }
 
--- a/tests/jsonrpc/peers.hpp
+++ b/tests/jsonrpc/peers.hpp
@@ -130,9 +130,8 @@
 };
 
 // A gateway with a JSON-RPC front, before workers of either protocol.
-class RpcTest : public ::testing::Test {
+class RpcTest : public LoopTest {
  protected:
-  asio::io_context io;
   FakeDiscovery discovery{io};
   std::vector<std::unique_ptr<Worker>> workers;
   std::vector<std::unique_ptr<Peer>> httpWorkers;
@@ -167,16 +166,6 @@
     gateway = std::make_unique<Gateway>(
         io, parsed, waits, [](const std::string&) {}, settings);
   }
-  template <class Predicate>
-  ::testing::AssertionResult until(Predicate predicate) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!predicate()) {
-      if (std::chrono::steady_clock::now() > end) return ::testing::AssertionFailure() << "waited in vain";
-      io.restart();
-      io.run_one_for(std::chrono::milliseconds(50));
-    }
-    return ::testing::AssertionSuccess();
-  }
   std::shared_ptr<Lines> client() { return Lines::connect(io, gateway->listeningJsonRpc()); }
   // The one text that comes back on a connection of its own.
   json ask(const std::string& bytes) {
--- a/tests/jsonrpc/upstream_test.cpp
+++ b/tests/jsonrpc/upstream_test.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 using jsonrpc::Upstream;
-using ochrehill::Outcome;
+using O = ochrehill::Outcome;
 
 class UpstreamTest : public RpcTest {
  protected:
@@ -31,11 +31,11 @@
     upstream->start({last, 0}, 1, call, limit);
     return {last, 0};
   }
-  Outcome endOf(AttemptKey key) const {
+  O endOf(AttemptKey key) const {
     for (const AttemptEnd& end : ends)
       if (end.key == key) return end.outcome;
     ADD_FAILURE() << "has not ended";
-    return Outcome::moot;
+    return O::moot;
   }
 };
 
@@ -54,7 +54,7 @@
   ASSERT_TRUE(until([&] { return ends.size() == 8; }));
   EXPECT_EQ(worker.connections.size(), 1u);
   for (const AttemptEnd& end : ends) {
-    EXPECT_EQ(end.outcome, Outcome::served);
+    EXPECT_EQ(end.outcome, O::served);
     EXPECT_EQ(json::parse(end.answer.body)["i"], end.key.call - 1);
   }
 }
@@ -71,7 +71,7 @@
 struct Wrong {
   const char* name;
   std::function<void(Lines&, const json&)> says;
-  Outcome first, second;  // of the call that it is done to, and of another that is open beside it
+  O first, second;  // of the call that it is done to, and of another that is open beside it
 };
 class Wrongs : public UpstreamTest, public ::testing::WithParamInterface<Wrong> {};
 
@@ -84,7 +84,7 @@
   GetParam().says(*from, worker.requests[0]["id"]);
   ASSERT_TRUE(until([&] { return !ends.empty(); }));
   EXPECT_EQ(endOf(one), GetParam().first);
-  if (GetParam().second != Outcome::served) {
+  if (GetParam().second != O::served) {
     ASSERT_TRUE(until([&] { return ends.size() == 2; }));
     EXPECT_EQ(endOf(two), GetParam().second);
     EXPECT_EQ(upstream->connections(), 0u);
@@ -93,55 +93,57 @@
   EXPECT_EQ(ends.size(), 1u) << "the other goes on";
   from->say(result(worker.requests[1]["id"], 2));
   ASSERT_TRUE(until([&] { return ends.size() == 2; }));
-  EXPECT_EQ(endOf(two), Outcome::served);
+  EXPECT_EQ(endOf(two), O::served);
 }
 
 INSTANTIATE_TEST_SUITE_P(
     All, Wrongs,
     ::testing::Values(
-        Wrong{"Application", [](Lines& l, const json& id) { l.say(error(id, 12)); }, Outcome::served, Outcome::served},
-        Wrong{"Internal", [](Lines& l, const json& id) { l.say(error(id, -32603)); }, Outcome::error, Outcome::served},
-        Wrong{"Server", [](Lines& l, const json& id) { l.say(error(id, -32050)); }, Outcome::error, Outcome::served},
+        Wrong{"Application", [](Lines& l, const json& id) { l.say(error(id, 12)); }, O::served, O::served},
+        Wrong{"Internal", [](Lines& l, const json& id) { l.say(error(id, -32603)); }, O::error, O::served},
+        Wrong{"Server", [](Lines& l, const json& id) { l.say(error(id, -32050)); }, O::error, O::served},
         Wrong{"NotRun", [](Lines& l, const json& id) { l.say(error(id, -32050, {{"not_run", true}})); },
-              Outcome::full, Outcome::served},
-        Wrong{"NotRunOfAnotherCode", [](Lines& l, const json& id) { l.say(error(id, -32603, {{"not_run", true}})); },
-              Outcome::error, Outcome::served},
-        Wrong{"NoMethod", [](Lines& l, const json& id) { l.say(error(id, -32601)); }, Outcome::rejected,
-              Outcome::served},
-        Wrong{"BadParams", [](Lines& l, const json& id) { l.say(error(id, -32602)); }, Outcome::rejected,
-              Outcome::served},
-        Wrong{"UnknownId", [](Lines& l, const json&) { l.say(result(77, 1)); }, Outcome::reset, Outcome::reset},
-        Wrong{"StringId", [](Lines& l, const json& id) { l.say(result(id.dump(), 1)); }, Outcome::reset,
-              Outcome::reset},
-        Wrong{"NullId", [](Lines& l, const json&) { l.say(result(nullptr, 1)); }, Outcome::reset, Outcome::reset},
+              O::full, O::served},
+        Wrong{"NotRunOfAnotherCode",
+              [](Lines& l, const json& id) { l.say(error(id, -32603, {{"not_run", true}})); },
+              O::error, O::served},
+        Wrong{"NoMethod", [](Lines& l, const json& id) { l.say(error(id, -32601)); }, O::rejected,
+              O::served},
+        Wrong{"BadParams", [](Lines& l, const json& id) { l.say(error(id, -32602)); }, O::rejected,
+              O::served},
+        Wrong{"UnknownId", [](Lines& l, const json&) { l.say(result(77, 1)); }, O::reset, O::reset},
+        Wrong{"StringId", [](Lines& l, const json& id) { l.say(result(id.dump(), 1)); }, O::reset,
+              O::reset},
+        Wrong{"NullId", [](Lines& l, const json&) { l.say(result(nullptr, 1)); }, O::reset, O::reset},
         Wrong{"Twice",
               [](Lines& l, const json& id) {
                 l.say(result(id, 1));
                 l.say(result(id, 1));
               },
-              Outcome::served, Outcome::reset},
-        Wrong{"Noise", [](Lines& l, const json&) { l.send("{]\n"); }, Outcome::reset, Outcome::reset},
-        Wrong{"Batch", [](Lines& l, const json& id) { l.say(json::array({result(id, 1)})); }, Outcome::reset,
-              Outcome::reset},
+              O::served, O::reset},
+        Wrong{"Noise", [](Lines& l, const json&) { l.send("{]\n"); }, O::reset, O::reset},
+        Wrong{"Batch", [](Lines& l, const json& id) { l.say(json::array({result(id, 1)})); }, O::reset,
+              O::reset},
         Wrong{"Both",
               [](Lines& l, const json& id) {
                 json both = result(id, 1);
                 both["error"] = {{"code", 1}};
                 l.say(both);
               },
-              Outcome::reset, Outcome::reset},
-        Wrong{"Large", [](Lines& l, const json& id) { l.say(result(id, std::string(100000, 'x'))); }, Outcome::reset,
-              Outcome::reset},
-        Wrong{"WithoutEnd", [](Lines& l, const json&) { l.send(std::string(100000, ' ')); }, Outcome::reset,
-              Outcome::reset},
-        Wrong{"Close", [](Lines& l, const json&) { l.close(); }, Outcome::reset, Outcome::reset},
-        Wrong{"Reset", [](Lines& l, const json&) { l.reset(); }, Outcome::reset, Outcome::reset},
+              O::reset, O::reset},
+        Wrong{"Large",
+              [](Lines& l, const json& id) { l.say(result(id, std::string(100000, 'x'))); }, O::reset,
+              O::reset},
+        Wrong{"WithoutEnd", [](Lines& l, const json&) { l.send(std::string(100000, ' ')); }, O::reset,
+              O::reset},
+        Wrong{"Close", [](Lines& l, const json&) { l.close(); }, O::reset, O::reset},
+        Wrong{"Reset", [](Lines& l, const json&) { l.reset(); }, O::reset, O::reset},
         Wrong{"Half",
               [](Lines& l, const json& id) {
                 l.send("{\"jsonrpc\":\"2.0\",\"id\":" + id.dump() + ",\"result\":");
                 l.reset();
               },
-              Outcome::reset, Outcome::reset}),
+              O::reset, O::reset}),
     [](const auto& info) { return info.param.name; });
 
 TEST_F(UpstreamTest, AWorkerThatRefusesConnectionsProvesThatNothingRan) {
@@ -153,8 +155,8 @@
   make(nobody);
   const AttemptKey one = send(), two = send();
   ASSERT_TRUE(until([&] { return ends.size() == 2; }));
-  EXPECT_EQ(endOf(one), Outcome::connectFailed);
-  EXPECT_EQ(endOf(two), Outcome::connectFailed);
+  EXPECT_EQ(endOf(one), O::connectFailed);
+  EXPECT_EQ(endOf(two), O::connectFailed);
   EXPECT_EQ(upstream->connections(), 0u);
 }
 
@@ -173,13 +175,13 @@
   accepted.set_option(asio::socket_base::linger(true, 0), ignored);
   accepted.close();
   ASSERT_TRUE(until([&] { return ends.size() == 400; }));
-  EXPECT_EQ(endOf({1, 0}), Outcome::reset) << "written whole: it may have run";
-  EXPECT_EQ(endOf({400, 0}), Outcome::connectFailed);
+  EXPECT_EQ(endOf({1, 0}), O::reset) << "written whole: it may have run";
+  EXPECT_EQ(endOf({400, 0}), O::connectFailed);
   bool unsent = false;  // in the order of sending: first those that may have run, then those that never did
   for (CallId id = 1; id <= 400; ++id) {
-    const Outcome outcome = endOf({id, 0});
-    EXPECT_TRUE(outcome == Outcome::connectFailed || (outcome == Outcome::reset && !unsent)) << id;
-    unsent |= outcome == Outcome::connectFailed;
+    const O outcome = endOf({id, 0});
+    EXPECT_TRUE(outcome == O::connectFailed || (outcome == O::reset && !unsent)) << id;
+    unsent |= outcome == O::connectFailed;
   }
 }
 
@@ -195,10 +197,10 @@
   upstream->cancel(one);
   EXPECT_TRUE(ends.empty()) << "not before it is known to be over";
   ASSERT_TRUE(until([&] { return ends.size() == 1; }));
-  EXPECT_EQ(endOf(one), Outcome::cancelled);
+  EXPECT_EQ(endOf(one), O::cancelled);
   from->say(result(worker.requests[1]["id"], 1));
   ASSERT_TRUE(until([&] { return ends.size() == 2; }));
-  EXPECT_EQ(endOf(two), Outcome::served);
+  EXPECT_EQ(endOf(two), O::served);
 }
 
 TEST_F(UpstreamTest, AResultThatCrossesTheCancelIsTaken) {
@@ -211,7 +213,7 @@
   ASSERT_TRUE(until([&] { return worker.requests.size() == 2; }));
   upstream->cancel(one);
   ASSERT_TRUE(until([&] { return ends.size() == 1; }));
-  EXPECT_EQ(endOf(one), Outcome::served);
+  EXPECT_EQ(endOf(one), O::served);
 }
 
 TEST_F(UpstreamTest, AWorkerThatIsSilentToACancelLosesItsConnection) {
@@ -219,8 +221,8 @@
   make(worker.endpoint);
   const AttemptKey one = send(json::object(), std::chrono::milliseconds(50)), two = send();
   ASSERT_TRUE(until([&] { return ends.size() == 2; }));
-  EXPECT_EQ(endOf(one), Outcome::timeout);
-  EXPECT_EQ(endOf(two), Outcome::reset);
+  EXPECT_EQ(endOf(one), O::timeout);
+  EXPECT_EQ(endOf(two), O::reset);
   EXPECT_EQ(worker.cancels.size(), 1u);
   EXPECT_TRUE(until([&] { return worker.connections[0]->closedByPeer; }));
 }
@@ -232,7 +234,7 @@
   ASSERT_TRUE(until([&] { return worker.requests.size() == 1; }));
   upstream->cancel(one);
   ASSERT_EQ(ends.size(), 1u);
-  EXPECT_EQ(endOf(one), Outcome::cancelled);
+  EXPECT_EQ(endOf(one), O::cancelled);
   EXPECT_TRUE(until([&] { return worker.connections[0]->closedByPeer; }));
 }
 
@@ -242,10 +244,10 @@
   const AttemptKey one = send({{"n", 1}}), two = send({{"n", 22}}), three = send({{"n", 333}});
   upstream->cancel(two);
   ASSERT_EQ(ends.size(), 1u);
-  EXPECT_EQ(endOf(two), Outcome::connectFailed);
+  EXPECT_EQ(endOf(two), O::connectFailed);
   ASSERT_TRUE(until([&] { return ends.size() == 3; }));
-  EXPECT_EQ(endOf(one), Outcome::served);
-  EXPECT_EQ(endOf(three), Outcome::served);
+  EXPECT_EQ(endOf(one), O::served);
+  EXPECT_EQ(endOf(three), O::served);
   ASSERT_EQ(worker.requests.size(), 2u);
   EXPECT_EQ(worker.requests[1]["params"]["n"], 333);
 }
@@ -258,7 +260,7 @@
   worker.connections[0]->close();
   send();
   ASSERT_TRUE(until([&] { return ends.size() == 2; }));
-  EXPECT_EQ(ends[1].outcome, Outcome::served);
+  EXPECT_EQ(ends[1].outcome, O::served);
   EXPECT_EQ(worker.connections.size(), 2u);
 }
 
@@ -271,7 +273,7 @@
   upstream->list(1, worker.endpoint, false);
   from->say(result(worker.requests[0]["id"], 1));
   ASSERT_TRUE(until([&] { return ends.size() == 1; }));
-  EXPECT_EQ(endOf(one), Outcome::served);
+  EXPECT_EQ(endOf(one), O::served);
   EXPECT_TRUE(until([&] { return upstream->connections() == 0; }));
 }
 
@@ -282,7 +284,7 @@
   make(worker.endpoint);
   for (int i = 0; i < 3; ++i) send();
   ASSERT_EQ(ends.size(), 1u);
-  EXPECT_EQ(ends[0].outcome, Outcome::connectFailed);
+  EXPECT_EQ(ends[0].outcome, O::connectFailed);
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/layers.sh
@@ -0,0 +1,26 @@
+#!/bin/sh
+# Dependencies of the packages run one way: each may include only what is listed. $1: the repository's root.
+set -eu
+cd "$1/src"
+bad=0
+allow() {  # package, then the folders that it may include beside itself and the module's interface
+  package=$1; shift
+  for include in $(sed -n 's/^#include "\([^"]*\)"$/\1/p' "$package"/*.?pp | sort -u); do
+    folder=${include%%/*}
+    for allowed in "$package" ochrehill "$@"; do [ "$folder" = "$allowed" ] && continue 2; done
+    echo "src/$package includes $include, which is not below it"
+    bad=1
+  done
+}
+allow core
+allow discovery
+allow config discovery
+allow upstream core
+allow http core upstream
+allow jsonrpc core upstream
+allow app core config discovery http jsonrpc upstream standins
+# The core knows no protocol, no socket and no clock.
+if grep -nEi 'boost|http|json|socket|steady_clock|system_clock' core/engine.?pp core/call.hpp | grep -v '//'; then
+  echo "src/core knows more than it should"; bad=1
+fi
+exit $bad
--- a/tests/net_peers.hpp
+++ b/tests/net_peers.hpp
@@ -40,6 +40,22 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// A test with an event loop that waits for what it expects.
+class LoopTest : public ::testing::Test {
+ protected:
+  asio::io_context io;
+  template <class Predicate>
+  ::testing::AssertionResult until(Predicate predicate) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!predicate()) {
+      if (std::chrono::steady_clock::now() > end) return ::testing::AssertionFailure() << "waited in vain";
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(50));
+    }
+    return ::testing::AssertionSuccess();
+  }
+};
+
 // A connection accepted by a peer: reads requests one after the other and hands them to the script.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
  public:
