A worker's own refusal keeps the HTTP client's connection; found by a test that waited in vain

The answer 422 of a JSON-RPC worker was taken for the client's error, after which the connection is closed.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -145,6 +145,7 @@
   open_.erase(ticket);
   HttpAnswer answer;
   if (reply.verdict == Verdict::served) {
+    answer.fromHost = true;
     if (reply.message.declined) answer.status = http::status::unprocessable_entity;
     answer.fields = std::move(reply.message.fields);
     if (reply.message.format == Format::json) answer.fields.add("Content-Type", "application/json");
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -22,6 +22,7 @@
   boost::beast::http::status status = boost::beast::http::status::ok;
   Fields fields;
   std::string body;
+  bool fromHost = false;  // its own answer: no error of the client, whatever the status says
 };
 
 // What an answer is on the wire. `keep`: the connection stays open behind it.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -46,8 +46,8 @@
     become(State::writing);
     exchange_ = 0;
     // A client in error is left: the next it sends may be anything, and the same again costs as much.
-    const bool keep = keepAlive_ && !server_->last_ &&
-                      http::to_status_class(answer.status) != http::status_class::client_error;
+    const bool error = http::to_status_class(answer.status) == http::status_class::client_error;
+    const bool keep = keepAlive_ && !server_->last_ && (answer.fromHost || !error);
     response_ = wireText(answer, keep);
     asio::async_write(socket_, asio::buffer(response_),
                       [self = shared_from_this(), keep](error_code ec, std::size_t) {
