Limits of calls that are over are dropped early; idle connections are not peeked at for each call

Each call left an entry in the module's queue of guards and in the upstream's queue of limits until its deadline, 20 s later; and the choice of a connection copied the host's list and asked the kernel about each idle one. Ruled out: the session table (off there) and the parser's buffers (of one size).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -133,7 +133,7 @@
   std::vector<std::uint32_t> freeSlots;
   std::unordered_map<RequestId, std::uint32_t> slotOf;
   std::vector<Level> levels;
-  std::priority_queue<Guard, std::vector<Guard>, std::greater<>> guards;
+  Guards guards;
   std::vector<HostId> ready;
   std::unordered_map<std::uint64_t, Turn> turns;
   std::vector<std::uint64_t> turnsDue;  // keys whose turn may have passed on in this event
@@ -947,11 +947,13 @@
   }
 
   void arm() {
-    while (!guards.empty()) {
-      const Open& r = slots[guards.top().slot];
-      if (r.live && r.generation == guards.top().generation && !r.ended) break;
-      guards.pop();
-    }
+    const auto over = [&](const Guard& g) {
+      const Open& r = slots[g.slot];
+      return !r.live || r.generation != g.generation || r.ended;
+    };
+    while (!guards.empty() && over(guards.top())) guards.pop();
+    // Danger: requests end long before their deadlines, and their guards would be kept until then.
+    if (guards.size() > guards.most) guards.drop(over);
     Time want = guards.empty() ? nextSweep : std::min(nextSweep, guards.top().at);
     want = std::max(want, now + Duration(1));
     if (armed > now && armed <= want) return;
--- a/src/jsonrpc/upstream.cpp
+++ b/src/jsonrpc/upstream.cpp
@@ -27,6 +27,8 @@
 // Danger: a call written to a connection that the host is just closing ends as a reset, which may have run.
 // Given up earlier than the host would by this, or by a fifth of a short limit.
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
+// Entries of limits that may be kept for calls that are over, beside as many as are open.
+constexpr std::size_t kDueSlack = 64;
 // Around the answer itself in a reply: member names and the id.
 constexpr std::size_t kReplyFrame = 1024;
 
@@ -149,7 +151,7 @@
     pending.end = base_ + out_.size();
     ids_[key] = id;
     owner_->busy_.emplace(key, shared_from_this());
-    due_.push({pending.limit, id});
+    dueAt(pending.limit, id);
     arm();
     owner_->flushSoon(shared_from_this());
   }
@@ -172,7 +174,7 @@
         "{\"jsonrpc\":\"2.0\",\"method\":\"rpc.cancel\",\"params\":{\"id\":" + std::to_string(id) + "}}",
         out_);
     pending.limit = Clock::now() + owner_->limits_.cancelWait;
-    due_.push({pending.limit, id});
+    dueAt(pending.limit, id);
     arm();
     owner_->flushSoon(shared_from_this());
   }
@@ -326,6 +328,16 @@
     return true;
   }
 
+  // Danger: calls end long before their limits, and what is due later would be kept for each of them.
+  void dueAt(Clock::time_point at, std::uint64_t id) {
+    due_.push({at, id});
+    if (due_.size() <= kDueSlack + 2 * calls_.size()) return;
+    std::vector<Due> live;
+    live.reserve(2 * calls_.size());
+    for (const auto& [other, pending] : calls_) live.push_back({pending.limit, other});
+    due_ = decltype(due_)(std::greater<>(), std::move(live));
+  }
+
   // One timer for all limits of the connection.
   void arm() {
     while (!due_.empty()) {
@@ -433,17 +445,21 @@
 
 // The fullest that has room: so few connections are kept, and the others become idle and are closed.
 Upstream::ConnectionPtr Upstream::choose(Host& host) {
+  Connection* best = nullptr;
+  for (const auto& connection : host.connections)
+    if (connection->calls() > 0 && connection->roomy() && (!best || connection->calls() > best->calls()))
+      best = connection.get();
+  if (best) return best->shared_from_this();
+  // Of the idle ones the latest, which the host is the least likely to close just now.
   const auto now = Clock::now();
-  ConnectionPtr best;
-  for (const auto& connection : std::vector<ConnectionPtr>(host.connections)) {
-    const bool idle = connection->calls() == 0 && connection->usable();
-    if (idle && (connection->outlived(now) || !connection->alive())) {
-      connection->leave();
-      continue;
-    }
-    if (connection->roomy() && (!best || connection->calls() > best->calls())) best = connection;
+  for (std::size_t i = host.connections.size(); i-- > 0;) {
+    if (i >= host.connections.size()) continue;  // one that left took others along
+    const ConnectionPtr connection = host.connections[i];
+    if (connection->calls() > 0 || !connection->usable()) continue;
+    if (!connection->outlived(now) && connection->alive()) return connection;
+    connection->leave();
   }
-  return best;
+  return nullptr;
 }
 
 void Upstream::cancel(AttemptKey key) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <queue>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -145,4 +146,14 @@
   bool operator>(const Guard& o) const { return at != o.at ? at > o.at : slot > o.slot; }
 };
 
+struct Guards : std::priority_queue<Guard, std::vector<Guard>, std::greater<>> {
+  std::size_t most = 1024;  // dropped from then on: twice as many as were left the last time
+  template <class Dead>
+  void drop(Dead dead) {
+    std::erase_if(c, dead);
+    std::make_heap(c.begin(), c.end(), comp);
+    most = std::max<std::size_t>(1024, 2 * c.size());
+  }
+};
+
 }  // namespace ochrehill
