--- a/tests/jsonrpc/front_test.cpp
+++ b/tests/jsonrpc/front_test.cpp
@@ -440,6 +440,7 @@
     held = from.shared_from_this();
     if (!request.contains("id")) from.say(error(request["params"]["id"], -32800));
   });
+  worker.seesCancels = true;
   start();
   auto other = client();
   other->say(call(1, "write"));
--- a/tests/jsonrpc/peers.hpp
+++ b/tests/jsonrpc/peers.hpp
@@ -110,6 +110,7 @@
   std::vector<std::shared_ptr<Lines>> connections;
   std::vector<json> requests;  // without cancels
   std::vector<json> cancels;   // ids
+  bool seesCancels = false;    // the script is called for them too
 
  private:
   void accept() {
@@ -118,9 +119,10 @@
       auto lines = std::make_shared<Lines>(std::move(socket));
       connections.push_back(lines);
       lines->onText = [this](Lines& from, const json& text) {
-        if (text.value("method", "") == "rpc.cancel") cancels.push_back(text["params"]["id"]);
+        const bool cancel = text.value("method", "") == "rpc.cancel";
+        if (cancel) cancels.push_back(text["params"]["id"]);
         else requests.push_back(text);
-        if (script) script(from, text);
+        if (script && (!cancel || seesCancels)) script(from, text);
       };
       lines->read();
       accept();
--- a/tests/jsonrpc/upstream_test.cpp
+++ b/tests/jsonrpc/upstream_test.cpp
@@ -191,6 +191,7 @@
     from = lines.shared_from_this();
     if (!text.contains("id")) lines.say(error(text["params"]["id"], -32800));
   });
+  worker.seesCancels = true;
   make(worker.endpoint);
   const AttemptKey one = send(), two = send();
   ASSERT_TRUE(until([&] { return worker.requests.size() == 2; }));
@@ -207,6 +208,7 @@
   Worker& worker = addWorker([&](Lines& lines, const json& text) {
     if (!text.contains("id")) lines.say(result(text["params"]["id"], "in time after all"));
   });
+  worker.seesCancels = true;
   make(worker.endpoint);
   const AttemptKey one = send();
   send();
