--- a/src/jsonrpc/front.cpp
+++ b/src/jsonrpc/front.cpp
@@ -198,7 +198,7 @@
   slot.version = entry.version;
   slot.safe = out.message.safe;
   slot.bytes = cost;
-  bytes_ += cost;
+  server_.charge(cost);
   ++peer.open;
   if (call) {
     slot.group = group;
@@ -277,7 +277,7 @@
   if (it == slots_.end()) return;
   Slot slot = std::move(it->second);
   slots_.erase(it);
-  bytes_ -= slot.bytes;
+  server_.release(slot.bytes);
   leave(ticket, slot);
   if (!slot.group && slot.session == 0) return;  // nobody is to be told
   const bool neverRan = reply.verdict == Verdict::refused;
@@ -319,13 +319,13 @@
                 text);
   else appendReply(version, id, result, text);
   group->bytes += text.size();
-  bytes_ += text.size();
+  server_.charge(text.size());
   complete(group);
 }
 
 void Front::complete(const GroupPtr& group) {
   if (--group->pending > 0) return;
-  bytes_ -= group->bytes;
+  server_.release(group->bytes);
   const ConnectionId id = group->connection;
   if (!group->batch) {
     if (!group->replies.front().empty()) server_.write(id, group->replies.front());
@@ -367,12 +367,12 @@
     const auto it = slots_.find(ticket);
     if (it == slots_.end()) continue;
     Slot& slot = it->second;
-    bytes_ -= std::exchange(slot.group->bytes, 0);
+    server_.release(std::exchange(slot.group->bytes, 0));
     slot.group.reset();
     slot.connection = 0;
     if (slot.session != 0) continue;
     const CallId call = slot.call;
-    bytes_ -= slot.bytes;
+    server_.release(slot.bytes);
     slots_.erase(it);
     engine_.abandon(call);
   }
--- a/src/jsonrpc/front.hpp
+++ b/src/jsonrpc/front.hpp
@@ -40,7 +40,7 @@
   void stopAccepting(std::function<void()> onEmpty);
   std::size_t connections() const { return server_.connections(); }
   std::size_t openCalls() const { return slots_.size(); }
-  std::size_t bytes() const { return server_.bytes() + bytes_; }
+  std::size_t bytes() const { return server_.bytes(); }  // of texts, open calls and replies
   const SessionTable& sessions() const { return table_; }
 
  private:
@@ -107,7 +107,6 @@
   std::unordered_map<ConnectionId, Peer> peers_;
   std::unordered_map<SessionTable::Id, ConnectionId> attached_;
   std::uint64_t lastTicket_ = 0;
-  std::size_t bytes_ = 0;  // of open calls, and of replies that wait for the others of their batch
   boost::asio::steady_timer expirer_;
   std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
   Server server_;  // last: it may hand over texts from here on
--- a/src/jsonrpc/server.hpp
+++ b/src/jsonrpc/server.hpp
@@ -54,7 +54,11 @@
   void stopAccepting();  // takes what waits, closes the listener, and each connection that has nothing open
   std::function<void()> onEmpty;  // after stopAccepting: the last connection is closed
   std::size_t connections() const { return connections_.size(); }
-  std::size_t bytes() const { return bytes_; }  // held: texts not whole and replies not taken
+  // Held: texts not whole, replies not taken, and what the front adds. Past the limit connections are closed
+  // at the end of a turn of the loop, so it may be over it by what one turn reads from workers.
+  std::size_t bytes() const { return bytes_; }
+  void charge(std::size_t bytes) { bytes_ += bytes; }
+  void release(std::size_t bytes) { bytes_ -= bytes; }
 
  private:
   class Connection;
