JSON-RPC calls the one parseEndpoint, and one wouldBlock, instead of copies

Need: reading the change again showed that the settings of JSON-RPC read address:port by a copy of the function that discovery and the configuration use, and that both sides' connections had a wouldBlock of their own. Change: the copies are gone; src/jsonrpc may include src/discovery for its addresses, as src/config does, and tests/layers.sh says so.

--- a/src/jsonrpc/server.cpp
+++ b/src/jsonrpc/server.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "jsonrpc/parser.hpp"
+#include "jsonrpc/socket.hpp"
 
 namespace cairnjunction::jsonrpc {
 namespace {
@@ -27,8 +28,6 @@
 constexpr std::size_t kAcceptAtOnce = 32;                     // then those that are connected have a turn
 constexpr std::size_t kKeepBuffer = 4096;  // an empty buffer larger than this is given back
 
-bool wouldBlock(error_code ec) { return ec == asio::error::would_block || ec == asio::error::try_again; }
-
 }  // namespace
 
 class Server::Connection : public std::enable_shared_from_this<Connection> {
--- a/src/jsonrpc/settings.cpp
+++ b/src/jsonrpc/settings.cpp
@@ -2,8 +2,6 @@
 #include "jsonrpc/settings.hpp"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <cmath>
 #include <fstream>
 #include <functional>
@@ -11,6 +9,8 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "discovery/host_list.hpp"
+
 namespace cairnjunction::jsonrpc {
 namespace {
 
@@ -70,16 +70,11 @@
 }
 
 tcp::endpoint endpoint(const json& value) {
-  const std::string at = text(value);
-  const std::size_t colon = at.rfind(':');
-  boost::system::error_code ec;
-  const auto address = boost::asio::ip::make_address(at.substr(0, colon == at.npos ? 0 : colon), ec);
-  unsigned short port = 0;
-  const char* last = at.data() + at.size();
-  const auto parsed = std::from_chars(at.data() + (colon == at.npos ? at.size() : colon + 1), last, port);
-  if (ec || parsed.ec != std::errc{} || parsed.ptr != last)
-    throw BadSettings("'" + at + "' is no address:port");
-  return {address, port};
+  try {
+    return parseEndpoint(text(value));
+  } catch (const std::invalid_argument& bad) {
+    throw BadSettings(bad.what());
+  }
 }
 
 std::string target(const json& value) {
--- /dev/null
+++ b/src/jsonrpc/socket.hpp
@@ -0,0 +1,13 @@
+// What the connections of both sides ask of a non-blocking socket.
+#pragma once
+
+#include <boost/asio/error.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace cairnjunction::jsonrpc {
+
+inline bool wouldBlock(boost::system::error_code ec) {
+  return ec == boost::asio::error::would_block || ec == boost::asio::error::try_again;
+}
+
+}  // namespace cairnjunction::jsonrpc
--- a/src/jsonrpc/upstream.cpp
+++ b/src/jsonrpc/upstream.cpp
@@ -4,12 +4,12 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <deque>
-#include <limits>
 #include <queue>
 #include <string>
 #include <utility>
 
+#include "jsonrpc/socket.hpp"
+
 namespace cairnjunction::jsonrpc {
 namespace {
 
@@ -32,8 +32,6 @@
 // Around the answer itself in a reply: member names and the id.
 constexpr std::size_t kReplyFrame = 1024;
 
-bool wouldBlock(error_code ec) { return ec == asio::error::would_block || ec == asio::error::try_again; }
-
 // What a worker is told as params of a call that came by another protocol.
 bool paramsOf(const Message& message, Parser& parser, std::string& out) {
   const std::string& body = message.body;
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -17,7 +17,7 @@
 allow config discovery
 allow upstream core
 allow http core upstream
-allow jsonrpc core upstream
+allow jsonrpc core discovery upstream
 allow app core config discovery http jsonrpc upstream standins
 # The core knows no protocol, no socket and no clock.
 if grep -nEi 'boost|http|json|socket|steady_clock|system_clock' core/engine.?pp core/call.hpp | grep -v '//'; then
