--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -41,7 +41,6 @@
   boost::asio::ip::tcp::endpoint listening() const { return http_.server().listening(); }
   boost::asio::ip::tcp::endpoint listeningJsonRpc() const { return jsonRpc_->listening(); }
   const jsonrpc::Front* jsonRpc() const { return jsonRpc_.get(); }  // null: off
-  const Engine& engine() const { return engine_; }
   // A new configuration: its discovery and limits hold from now on. What is under way goes on.
   void reload(const Config& config);
   std::size_t openRequests() const { return engine_.openCalls(); }
--- a/src/jsonrpc/front.cpp
+++ b/src/jsonrpc/front.cpp
@@ -36,8 +36,7 @@
 }  // namespace
 
 Front::Front(boost::asio::io_context& io, const Settings& settings, Engine& engine, std::string gateway)
-    : io_(io),
-      settings_(settings),
+    : settings_(settings),
       engine_(engine),
       gateway_(std::move(gateway)),
       parser_(settings.limits.frameBytes),
--- a/src/jsonrpc/front.hpp
+++ b/src/jsonrpc/front.hpp
@@ -96,7 +96,6 @@
   ochrehill::Time now() const;
   void expire();
 
-  boost::asio::io_context& io_;
   const Settings& settings_;
   Engine& engine_;
   std::string gateway_;
--- a/src/jsonrpc/server.cpp
+++ b/src/jsonrpc/server.cpp
@@ -335,20 +335,16 @@
   for (auto& [id, connection] : connections_) connection->close();
 }
 
-bool Server::write(ConnectionId id, std::string_view text) {
+void Server::write(ConnectionId id, std::string_view text) {
   const auto it = connections_.find(id);
-  if (it == connections_.end()) return false;
-  const auto connection = it->second;
-  connection->write(text);
-  if (!flushing_) {
-    flushing_ = true;
-    asio::post(io_, [this] {
-      flushing_ = false;
-      for (const auto& each : std::exchange(unflushed_, {})) each->flush();
-      keepWithin();
-    });
-  }
-  return true;
+  if (it == connections_.end()) return;
+  it->second->write(text);
+  if (std::exchange(flushing_, true)) return;
+  asio::post(io_, [this] {
+    flushing_ = false;
+    for (const auto& each : std::exchange(unflushed_, {})) each->flush();
+    keepWithin();
+  });
 }
 
 void Server::closeAfterReplies(ConnectionId id) {
--- a/src/jsonrpc/server.hpp
+++ b/src/jsonrpc/server.hpp
@@ -43,9 +43,9 @@
   Server& operator=(const Server&) = delete;
 
   boost::asio::ip::tcp::endpoint listening() const { return acceptor_.local_endpoint(); }
-  // One frame. Sent at the end of this turn of the event loop, with what else is written in it. False: the
-  // connection is gone.
-  bool write(ConnectionId id, std::string_view text);
+  // One frame, if the connection is still there. Sent at the end of this turn of the event loop, with what
+  // else is written in it.
+  void write(ConnectionId id, std::string_view text);
   void closeAfterReplies(ConnectionId id);  // nothing more is read
   void close(ConnectionId id);              // at once; Callbacks::gone is not called
   // `calls` of the connection are open now, and past the limit no more is read.
--- a/src/jsonrpc/upstream.cpp
+++ b/src/jsonrpc/upstream.cpp
@@ -451,7 +451,6 @@
   // Of the idle ones the latest, which the host is the least likely to close just now.
   const auto now = Clock::now();
   for (std::size_t i = host.connections.size(); i-- > 0;) {
-    if (i >= host.connections.size()) continue;  // one that left took others along
     const ConnectionPtr connection = host.connections[i];
     if (connection->calls() > 0 || !connection->usable()) continue;
     if (!connection->outlived(now) && connection->alive()) return connection;
--- a/tools/standins/ledger.hpp
+++ b/tools/standins/ledger.hpp
@@ -20,10 +20,6 @@
     const auto it = twice_.find(method);
     return it == twice_.end() ? 0 : it->second;
   }
-  std::uint64_t timesOf(const std::string& method, const std::string& ref) const {
-    const auto it = times_.find(method + '\0' + ref);
-    return it == times_.end() ? 0 : it->second;
-  }
 
  private:
   std::uint64_t runs_ = 0;
