The decision module is split by concern into src/policy, with its actions unchanged

Need: one struct of 850 lines in one file; a reader could not find one of DESIGN's sentences without reading all of it.

--- /dev/null
+++ b/src/policy/balancer.cpp
@@ -0,0 +1,103 @@
+// The events of the Balancer, in the order of its interface, and the timers.
+#include "ochrehill/ochrehill.hpp"
+#include "policy/module.hpp"
+#include "settings.hpp"
+
+namespace ochrehill {
+
+struct Balancer::Impl : Module {
+  using Module::Module;
+};
+
+Module::Module(Settings s, Time t)
+    : set(std::move(s)), engine(set.seed), now(t), started(t), nextSweep(t + kSweep) {
+  for (const ClassSettings& c : set.classes) {
+    classes.push_back({c});
+    meanAim += toSeconds(c.aim) / static_cast<double>(set.classes.size());
+  }
+  ClassSettings unknown = set.classes.front();  // what nobody described: never repeated, lowest worth
+  unknown.name = "unknown";
+  unknown.effect = Effect::fragile;
+  unknown.worth = 0;
+  classes.push_back({unknown});
+  quotaTokens.assign(set.tenants.size(), 0);
+  quotaAt = t;
+}
+
+void Module::onWake() {
+  while (!guards.empty() && guards.top().at <= now) {
+    const Guard g = guards.top();
+    guards.pop();
+    Open& r = slots[g.slot];
+    if (!r.live || r.generation != g.generation || r.ended || r.bound) continue;
+    // Danger: an outcome that never comes would leave the client without an answer. And a slow host that
+    // this gateway cannot know yet eats the whole aim: in calm what may be repeated runs once more
+    // elsewhere.
+    if (g.due == Due::turn && inTurn(r) && r.count == 0) {
+      if (hopeless(r, 0)) finish(r);
+      turnsDue.push_back(r.key);
+    } else if (g.due == Due::answer) finish(r);
+    else if (g.due == Due::copy && r.out == 1 && cut <= 1 && retryTokens >= 1 && send(r)) retryTokens -= 1;
+  }
+  if (now >= nextSweep) {
+    nextSweep = now + kSweep;
+    sweepConnections();
+    sweepHosts();
+    sweepKinds();
+    sweepScores();
+    sweepTurns();
+    sweepPool();
+  }
+}
+
+void Module::arm() {
+  const auto over = [&](const Guard& g) {
+    const Open& r = slots[g.slot];
+    return !r.live || r.generation != g.generation || r.ended;
+  };
+  while (!guards.empty() && over(guards.top())) guards.pop();
+  // Danger: requests end long before their deadlines, and their guards would be kept until then.
+  if (guards.size() > guards.most) guards.drop(over);
+  Time want = guards.empty() ? nextSweep : std::min(nextSweep, guards.top().at);
+  want = std::max(want, now + Duration(1));
+  if (armed > now && armed <= want) return;
+  armed = want;
+  emit(ActionKind::wake, 0, 0, kNone, want);
+}
+
+Balancer::Balancer(Settings settings, Time now) {
+  validate(settings);
+  impl_ = std::make_unique<Impl>(std::move(settings), now);
+}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries) {
+  impl_->event(now, [&] { impl_->onHosts(kind, entries); });
+}
+void Balancer::onRequest(Time now, const Request& request) {
+  impl_->event(now, [&] { impl_->onRequest(request); });
+}
+void Balancer::onAnswerStarted(Time now, RequestId request, std::uint32_t attempt) {
+  impl_->event(now, [&] { impl_->onAnswerStarted(request, attempt); });
+}
+void Balancer::onResult(Time now, const AttemptResult& result) {
+  impl_->event(now, [&] { impl_->onResult(result); });
+}
+void Balancer::onClientGone(Time now, RequestId request) {
+  impl_->event(now, [&] { impl_->onClientGone(request); });
+}
+void Balancer::onWake(Time now) {
+  impl_->event(now, [&] { impl_->onWake(); });
+}
+std::vector<Action>& Balancer::actions() { return impl_->out; }
+HostId Balancer::findHost(std::string_view address) const {
+  const auto it = impl_->hostIds.find(std::string(address));
+  return it == impl_->hostIds.end() ? kNone : it->second;
+}
+const std::string& Balancer::address(HostId host) const { return impl_->hosts.at(host).entry.address; }
+double Balancer::cutoff() const { return impl_->cut; }
+std::size_t Balancer::openRequests() const { return impl_->slotOf.size(); }
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/policy/hosts.cpp
@@ -0,0 +1,106 @@
+// Hosts: the list as discovery tells it, when to ask for it, and the part of it that this gateway uses.
+#include <algorithm>
+#include <cmath>
+
+#include "policy/module.hpp"
+
+namespace ochrehill {
+namespace {
+
+// Danger: hosts accept so many connections, and each gateway of a large bank opening one to every host shuts
+// the others out. A gateway keeps to this many hosts, and to this many times its part of the pool.
+constexpr double kWidthLeast = 6;
+constexpr double kWidthParts = 4;
+constexpr std::uint32_t kRound = 16;  // gateways dealt out over the pool at a time
+
+}  // namespace
+
+void Module::onHosts(ListKind kind, const std::vector<HostEntry>& entries) {
+  if (kind == ListKind::unavailable) {
+    askFailures = std::min(askFailures + 1, 4);
+    asking = false;
+    Duration wait = milliseconds(500) * (1 << askFailures);
+    // Danger: a limit set after the jitter makes all gateways come back in one moment.
+    if (set.askWithin > Duration{}) wait = std::min(wait, set.askWithin / 5);
+    askAgain = now + scaled(wait, 0.5 + drawUnit());
+    return;
+  }
+  if (kind == ListKind::restored) {
+    if (set.askDiscovery) askAgain = now;  // it may be stale: ask at once
+  } else {
+    askFailures = 0;
+    answered = true;
+  }
+  if (kind != ListKind::update)
+    for (Host& h : hosts) h.entry.phase = Phase::out;  // what a whole list leaves out is gone
+  for (const HostEntry& e : entries) {
+    const auto next = freeHosts.empty() ? static_cast<HostId>(hosts.size()) : freeHosts.back();
+    auto [it, fresh] = hostIds.emplace(e.address, next);
+    if (fresh) {
+      if (freeHosts.empty()) hosts.emplace_back();
+      else freeHosts.pop_back();
+      hosts[next].hash = hashText(e.address);
+    }
+    Host& h = hosts[it->second];
+    const bool restarted = fresh || e.upSince != h.entry.upSince;
+    h.entry = e;
+    h.local = e.zone == set.zone;
+    h.open.clear();
+    for (const ClassState& c : classes)
+      h.open.push_back(names(c.set.zones, e.zone) && names(c.set.kinds, e.kind));
+    h.kind = 0;
+    while (h.kind < kinds.size() && kinds[h.kind].name != e.kind) ++h.kind;
+    if (h.kind == kinds.size()) kinds.push_back({e.kind});
+    kinds[h.kind].weight = std::max(kinds[h.kind].weight, e.weight);
+    if (set.liveWeights && kind != ListKind::restored)
+      crowded(h, kinds[h.kind].weight / std::max(e.weight, 0.001));
+    if (restarted) {  // a new process: what was learned of the old one is void
+      h.health = Health::good;
+      h.ejections = 0;
+      h.fails = 0;
+      h.classFails.assign(classes.size(), 0);
+      h.fulls = 0;
+      h.silent = false;
+      h.lines = h.dialFails = 0;
+      h.share = h.crowd = 1;
+      h.pace = kinds[h.kind].pace / std::sqrt(warmth(h));
+      // Danger: a first request from every one of many gateways at once is a burst; a drawn phase spreads
+      // them.
+      h.coldTokens = drawUnit();
+      h.coldAt = now;
+    }
+  }
+  listed.clear();
+  for (HostId id = 0; id < hosts.size(); ++id)
+    if (hosts[id].entry.phase == Phase::in) listed.push_back(id);
+  std::sort(listed.begin(), listed.end(),
+            [&](HostId a, HostId b) { return hosts[a].entry.address < hosts[b].entry.address; });
+  reorder();
+  for (HostId id = 0; id < hosts.size(); ++id) forgetGone(id);
+}
+
+// Own hosts first. Hosts lie on a ring, in an order of its own for every round of gateways, and the
+// gateways of a round start evenly around it: hosts that come or go move only their neighbours. Keys are
+// kept warm by all.
+void Module::reorder() {
+  const double count = static_cast<double>(listed.size());
+  const double own = set.warmKeys ? count : kWidthLeast + kWidthParts * count / set.groupSize;
+  width = static_cast<std::size_t>(std::min(count, own));
+  const std::uint64_t salt = mix(set.number / kRound);
+  const std::uint64_t start = set.number % kRound * (UINT64_MAX / kRound);
+  const auto after = [&](HostId id) { return mix(hosts[id].hash ^ salt) - start; };
+  order = listed;
+  std::sort(order.begin(), order.end(), [&](HostId a, HostId b) { return after(a) < after(b); });
+}
+
+void Module::ask() {
+  // Danger: a call whose answer is lost would leave the gateway silent towards discovery for good.
+  const bool lost = !answered && set.askWithin > Duration{} && now - askedAt > set.askWithin / 2;
+  if (!set.askDiscovery || (asking && !lost) || now < askAgain) return;
+  emit(ActionKind::subscribe);
+  asking = true;  // until it fails
+  answered = false;
+  askedAt = now;
+}
+
+}  // namespace ochrehill
