Only reachable hosts are judged by peers; a question to discovery that fails is asked again sooner

Hosts that are out counted as peers without failures, so that the few left could be ejected as outliers, and up to half of the listed ones; and they lowered what a warm host is proven to carry. A probe that the engine did not carry out would have left its host out for good.

Change: medians, the share that may be ejected and proven rates run over reachable hosts; an unanswered question is asked again after about a second.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -73,7 +73,7 @@
       discovery_(
           io, config.discovery,
           {[this](const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); },
-           [this] { engine_.tellHosts(ListKind::unavailable, {}); }},
+           [this] { engine_.tellHosts(ListKind::unavailable, {}); }, [this] { engine_.doubtFailed(); }},
           waits.discovery),
       waker_(io),
       drainTimer_(io),
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -215,6 +215,8 @@
 void Engine::send(const Action& action) {
   const auto it = calls_.find(action.request);
   if (it == calls_.end()) return;
+  // Also of one that is not carried out, since it may be the probe that its host was offered.
+  membership_.onSent(runtime_.now(), action.host, action.request, action.attempt);
   Open& open = it->second;
   const Duration left = open.deadline - runtime_.now();
   if (open.ended || open.out > 0 || left <= Duration{}) {
@@ -225,7 +227,6 @@
     return;
   }
   ++open.out;
-  membership_.onSent(runtime_.now(), action.host, action.request, action.attempt);
   upstream_.start({action.request, action.attempt}, action.host, open.call, std::min(action.span, left));
 }
 
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -57,7 +57,8 @@
   void attemptEnded(AttemptEnd end);  // from the upstream
   // From the upstream, at every change.
   void connectionsChanged(ochrehill::HostId host, HostConnections connections);
-  void hostMoved(ochrehill::HostId host);  // the list gave it another address
+  void doubtFailed() { membership_.onDoubtFailed(runtime_.now()); }  // discovery did not answer it
+  void hostMoved(ochrehill::HostId host);                            // the list gave it another address
   // `before` runs once the module knows the hosts and before its actions are carried out: the upstream is to
   // learn there which of them is where.
   void tellHosts(ochrehill::ListKind kind, const std::vector<ochrehill::HostEntry>& entries,
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -180,7 +180,8 @@
 void Discovery::endedBeside(const std::optional<HostList>& list) {
   if (!list || !list->full) {
     giveUp(beside_);
-    if (!call_) fail();  // the watch ended meanwhile
+    if (call_) callbacks_.besideFailed();
+    else fail();  // the watch ended meanwhile
     return;
   }
   // Danger: a list that is older than ours comes from the past; only without a watch is it all there is.
--- a/src/discovery/discovery.hpp
+++ b/src/discovery/discovery.hpp
@@ -28,7 +28,8 @@
  public:
   struct Callbacks {
     std::function<void(const HostList&)> told;
-    std::function<void()> failed;  // the watch is over
+    std::function<void()> failed;                // the watch is over
+    std::function<void()> besideFailed = [] {};  // it goes on, and the call beside it was not answered
   };
   struct Waits {
     std::chrono::milliseconds watch{20000};      // a watch may wait so long,
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -306,6 +306,11 @@
   return true;
 }
 
+void Membership::onDoubtFailed(Time now) {
+  doubts_ = std::max(doubts_ - 1, 0);
+  doubtAt_ = std::min(doubtAt_, now + scaled(settings_.doubtRetry, 0.75 + 0.5 * settings_.spread));
+}
+
 std::vector<Membership::Change> Membership::takeChanges() { return std::exchange(changes_, {}); }
 
 Membership::Host* Membership::find(HostId host) {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -73,7 +73,8 @@
     ochrehill::Duration doubtAfter = std::chrono::milliseconds(400);
     // asked about again after this, and each further time after twice as long,
     ochrehill::Duration doubtFirst = std::chrono::seconds(2);
-    int doubtDoublings = 3;  // up to so often.
+    int doubtDoublings = 3;                                    // up to so often;
+    ochrehill::Duration doubtRetry = std::chrono::seconds(1);  // and after this if discovery did not answer.
     // From 0 to 1, another one at each gateway: those that see the same failure are not to ask in one moment.
     double spread = 0.5;
   };
@@ -113,6 +114,8 @@
   // Whether discovery should be asked beside the watch, since what the list says is not what is seen. True at
   // most as often as the settings space it.
   bool takeDoubt(ochrehill::Time now);
+  // The question came to nothing: it may be asked again sooner.
+  void onDoubtFailed(ochrehill::Time now);
 
   Belief of(ochrehill::HostId host, ochrehill::Time now) const;  // gone, if it was never named
   ochrehill::Duration listAge(ochrehill::Time now) const;        // since discovery last spoke, by any answer
--- a/src/policy/cold_start.cpp
+++ b/src/policy/cold_start.cpp
@@ -38,7 +38,7 @@
   for (Kind& k : kinds) k.served = k.count = 0;
   for (std::size_t i = 0; i < order.size(); ++i) {
     Host& h = hosts[order[i]];
-    if (i < width && !isCold(h) && !sick(h)) {  // of the others we ask little
+    if (i < width && !isCold(h) && counts(h)) {  // of the others we ask little
       kinds[h.kind].served += h.served;
       kinds[h.kind].count += 1;
     }
--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -143,11 +143,13 @@
     h.outcomes *= 1 - fastGain();
     h.errors *= 1 - fastGain();
     if (h.health == Health::ejected && now >= h.until)
-      h.health = Health::trial;  // back by a trickle of real requests
-    if (h.health != Health::good) ++away;
-    paces.push_back(h.pace);
-    fails.push_back(h.fails);
-    crowds.push_back(h.crowd);
+      h.health = Health::trial;    // back by a trickle of real requests
+    if (h.reach == Reach::open) {  // the others are no peers to be judged by
+      if (h.health != Health::good) ++away;
+      paces.push_back(h.pace);
+      fails.push_back(h.fails);
+      crowds.push_back(h.crowd);
+    }
     // Danger: a paused or lost host gathers requests until they time out.
     while (!h.sent.empty() && !outTry(h.sent.front(), id)) h.sent.pop_front();
     const Duration limit =
@@ -159,8 +161,8 @@
   peerFails = quantile(fails, 0.25, 0);  // a quarter of the peers well: the others are outliers
   for (HostId id : listed) {  // judged against the peers, so that a pool-wide trouble ejects nobody
     Host& h = hosts[id];
-    if (h.health != Health::good ||
-        static_cast<double>(away + 1) > kEjectShare * static_cast<double>(listed.size()))
+    if (h.health != Health::good || h.reach != Reach::open ||
+        static_cast<double>(away + 1) > kEjectShare * static_cast<double>(reachable))
       continue;
     const bool failing = h.fails > std::max(kFailEject, kFailPeers * peerFails);
     if (failing) {
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -390,6 +390,19 @@
   EXPECT_FALSE(beliefs->takeDoubt(now));
 }
 
+TEST_F(MembershipTest, AQuestionThatWasNotAnsweredIsAskedAgainSooner) {
+  list(3);
+  refused(0);
+  std::vector<Time> asked;
+  pass(8s, [&] {
+    if (!beliefs->takeDoubt(now)) return;
+    asked.push_back(now);
+    beliefs->onDoubtFailed(now);
+  });
+  ASSERT_GE(asked.size(), 6u);
+  EXPECT_LE(asked.size(), 9u);
+}
+
 TEST_F(MembershipTest, GatewaysThatSeeOneFailureDoNotAskInOneMoment) {
   std::vector<Time> asked;
   for (const double spread : {0.1, 0.5, 0.9}) {
