--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <cstdio>
@@ -29,10 +30,15 @@
 using namespace std::chrono_literals;
 using Clock = std::chrono::steady_clock;
 
-// Answers each request after a while; holds as many at a time as come, as a host with cores to spare.
+const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const std::string kFull = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr int kSlots = 4;  // requests in work at a host; past it it turns away, unseen
+constexpr auto kWork = 15ms;
+
+// Some 266 requests a second, and no more.
 class Host {
  public:
-  Host(asio::io_context& io, std::chrono::milliseconds work) : io_(io), work_(work), acceptor_(io) {
+  explicit Host(asio::io_context& io) : io_(io), acceptor_(io) {
     acceptor_.open(tcp::v4());
     acceptor_.bind({asio::ip::make_address("127.0.0.1"), 0});
     acceptor_.listen();
@@ -52,39 +58,48 @@
 
  private:
   struct Connection : std::enable_shared_from_this<Connection> {
-    Connection(tcp::socket s, asio::io_context& io) : socket(std::move(s)), timer(io) {}
-    void read(std::chrono::milliseconds work) {
-      asio::async_read_until(
-          socket, buffer, "\r\n\r\n", [self = shared_from_this(), work](error_code ec, std::size_t n) {
-            if (ec) return;
-            self->buffer.consume(n);
-            self->timer.expires_after(work);
-            self->timer.async_wait([self, work](error_code) {
-              static const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-              asio::async_write(self->socket, asio::buffer(kAnswer),
-                                [self, work](error_code writeError, std::size_t) {
-                                  if (!writeError) self->read(work);
-                                });
-            });
-          });
+    Connection(tcp::socket s, asio::io_context& io, std::shared_ptr<int> b)
+        : socket(std::move(s)), timer(io), busy(std::move(b)) {}
+    void read() {
+      asio::async_read_until(socket, buffer, "\r\n\r\n",
+                             [self = shared_from_this()](error_code ec, std::size_t n) {
+                               if (ec) return;
+                               self->buffer.consume(n);
+                               self->work();
+                             });
+    }
+    void work() {
+      if (*busy >= kSlots) return write(kFull);
+      ++*busy;
+      timer.expires_after(kWork);
+      timer.async_wait([self = shared_from_this()](error_code) {
+        --*self->busy;
+        self->write(kAnswer);
+      });
+    }
+    void write(const std::string& text) {
+      asio::async_write(socket, asio::buffer(text), [self = shared_from_this()](error_code ec, std::size_t) {
+        if (!ec) self->read();
+      });
     }
     tcp::socket socket;
     asio::steady_timer timer;
     asio::streambuf buffer;
+    std::shared_ptr<int> busy;  // of the host
   };
   void accept() {
     acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
       if (ec) return;
-      const auto c = std::make_shared<Connection>(std::move(socket), io_);
+      const auto c = std::make_shared<Connection>(std::move(socket), io_, busy_);
       connections_.push_back(c);
-      c->read(work_);
+      c->read();
       accept();
     });
   }
 
   asio::io_context& io_;
-  std::chrono::milliseconds work_;
   tcp::acceptor acceptor_;
+  std::shared_ptr<int> busy_ = std::make_shared<int>(0);
   std::vector<std::weak_ptr<Connection>> connections_;
 };
 
@@ -125,7 +140,7 @@
           [this](ochrehill::HostId h, HostConnections c) { engine_.connectionsChanged(h, c); });
     std::vector<ochrehill::HostEntry> entries;
     for (int i = 0; i < hosts; ++i) {
-      hosts_.push_back(std::make_unique<Host>(io_, 5ms));
+      hosts_.push_back(std::make_unique<Host>(io_));
       ochrehill::HostEntry e;
       e.address = "h-" + std::to_string(100 + i);
       entries.push_back(e);
