A door for operators with true figures; the clients' listener may be inherited

Untouched, the program ended at once where the platform holds the listener (its own bind failed), and had no second address for their calls.

src/ops: a line in, an answer out, on a listener of its own; the report is text of a plain struct. Replies are counted by class in the engine, dispatches by the upstreams when the last byte is written. GW_ACCEPT_FD: the acceptor is the inherited descriptor, closed at once in a stop, since others hold it.

--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -192,6 +192,7 @@
   // What is believed of a host: attempts out to it; open connections. 0 for an unknown host.
   std::uint32_t attemptsOut(HostId host) const;
   std::uint32_t connections(HostId host) const;
+  bool avoids(HostId host) const;  // ejected, silent or out of reach: nothing but a trial is sent there
 
  private:
   struct Impl;
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -77,8 +77,9 @@
           waits.discovery),
       waker_(io),
       drainTimer_(io),
-      http_(io, config.listen, clientLimits(config, waits.clients, jsonRpc.listen.has_value()), settings_,
-            engine_, [this] { return ready_ && !draining_; }) {
+      http_(io, {config.listen, config.acceptFd},
+            clientLimits(config, waits.clients, jsonRpc.listen.has_value()), settings_, engine_,
+            [this] { return ready_ && !draining_; }) {
   upstream_->onConnections(
       [this](HostId host, HostConnections now) { engine_.connectionsChanged(host, now); });
   if (jsonRpcSettings_.listen) {
@@ -98,6 +99,9 @@
   if (config.known) discovery_.knows(config.known->version);
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
+  if (config.mgmt)
+    door_ = std::make_unique<ops::Door>(io, *config.mgmt,
+                                        [this](std::string_view line) { return answerOperator(line); });
 }
 
 Gateway::~Gateway() {
@@ -174,10 +178,36 @@
   ready_ = ready_ || !list.hosts.empty() || kind != ListKind::restored;
 }
 
+// --- Operators ------------------------------------------------------------------------------------------
+
+ops::Figures Gateway::figures() const {
+  ops::Figures figures;
+  for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
+    const Engine::Tally& tally = engine_.tallies()[i];
+    figures.classes.push_back({settings_.classes[i].name, tally.served, tally.refused, tally.failed});
+  }
+  figures.dispatches = upstream_->dispatches();
+  figures.concurrent = engine_.unanswered();
+  const Engine::Targets targets = engine_.targets();
+  figures.targets = targets.listed;
+  figures.targetsDisabled = targets.avoided;
+  figures.reloadSuccess = reloads_;
+  figures.reloadFailure = reloadFailures_;
+  return figures;
+}
+
+std::string Gateway::answerOperator(std::string_view line) const {
+  if (line == "check")
+    return ready_ && !draining_ ? "SUCCESS\n" : draining_ ? "FAILURE stopping\n" : "FAILURE no hosts yet\n";
+  if (line == "vars") return ops::reportText(figures()) + "EOT\n";
+  return "FAILURE unknown call: check, vars\n";
+}
+
 // --- Reload and drain -----------------------------------------------------------------------------------
 
 // The listener and the module's settings stay as they are until a restart: answers are owed by them.
 void Gateway::reload(const Config& config) {
+  ++reloads_;
   discovery_.moveTo(config.discovery);
   limitUpstream_(config);
   http_.server().setLimits(clientLimits(config, waits_.clients, jsonRpc_ != nullptr));
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -16,6 +16,8 @@
 #include "jsonrpc/front.hpp"
 #include "jsonrpc/settings.hpp"
 #include "ochrehill/ochrehill.hpp"
+#include "ops/door.hpp"
+#include "ops/figures.hpp"
 #include "upstream/host_upstream.hpp"
 
 namespace cairnjunction {
@@ -43,6 +45,9 @@
   const jsonrpc::Front* jsonRpc() const { return jsonRpc_.get(); }  // null: off
   // A new configuration: its discovery and limits hold from now on. What is under way goes on.
   void reload(const Config& config);
+  void reloadFailed() { ++reloadFailures_; }  // a file was turned down
+  ops::Figures figures() const;
+  const ops::Door* door() const { return door_.get(); }  // null: none
   std::size_t openRequests() const { return engine_.openCalls(); }
   std::size_t hosts() const { return upstream_->hosts(); }
   const Engine& engine() const { return engine_; }
@@ -63,6 +68,7 @@
   void told(const HostList& list, ochrehill::ListKind kind);
   std::unique_ptr<HostUpstream> makeUpstream(const Config& config);
   void emptied(bool& front);
+  std::string answerOperator(std::string_view line) const;
 
   boost::asio::io_context& io_;
   std::chrono::steady_clock::time_point start_;
@@ -82,6 +88,8 @@
   bool httpEmpty_ = false, jsonRpcEmpty_ = false;  // in a drain: no client is left
   HttpFront http_;                                 // the fronts last: they may hand over calls from here on
   std::unique_ptr<jsonrpc::Front> jsonRpc_;
+  std::uint64_t reloads_ = 0, reloadFailures_ = 0;
+  std::unique_ptr<ops::Door> door_;
 };
 
 }  // namespace cairnjunction
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -52,6 +52,7 @@
       gateway.reload(readFile(files, Reading::again));
       log("configuration read again");
     } catch (const std::exception& bad) {
+      gateway.reloadFailed();
       log(std::string("configuration not taken: ") + bad.what());
     }
     reloadAtEachHangup(hangups, gateway, files);
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -46,6 +46,11 @@
 std::uint32_t Balancer::connections(HostId host) const {
   return host < impl_->hosts.size() ? static_cast<std::uint32_t>(impl_->hosts[host].lines) : 0;
 }
+bool Balancer::avoids(HostId host) const {
+  if (host >= impl_->hosts.size()) return true;
+  const Host& h = impl_->hosts[host];
+  return h.health == Health::ejected || h.silent || h.reach != Reach::open;
+}
 std::vector<Action>& Balancer::actions() { return impl_->out; }
 HostId Balancer::findHost(std::string_view address) const {
   const auto it = impl_->hostIds.find(std::string(address));
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -113,6 +113,14 @@
   return seed;
 }
 
+int readDescriptor(const std::string& text) {
+  int fd = -1;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), fd);
+  if (error != std::errc{} || end != text.data() + text.size() || fd < 3)
+    throw BadConfig("GW_ACCEPT_FD: '" + text + "' is no descriptor of an inherited socket");
+  return fd;
+}
+
 std::string told(const json& config, const char* name, const char* variable, const Environment& environment,
                  Reading reading) {
   std::string text;
@@ -141,6 +149,9 @@
   config.name = told(json, "name", "GW_NAME", environment, reading);
   config.listen = toldEndpoint(json, "listen", "GW_LISTEN", environment, reading);
   config.discovery = toldEndpoint(json, "discovery", "GW_DISCOVERY", environment, reading);
+  if (!told(json, "mgmt", "GW_MGMT", environment, reading).empty())
+    config.mgmt = toldEndpoint(json, "mgmt", "GW_MGMT", environment, reading);
+  if (const char* fd = environment("GW_ACCEPT_FD")) config.acceptFd = readDescriptor(fd);
   config.module = readSettings(part(json, "settings"));
   std::string seed;
   read(json, "seed", seed);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -25,6 +25,8 @@
 struct Config {
   std::string name;
   tcp::endpoint listen, discovery;
+  std::optional<tcp::endpoint> mgmt;     // the operators' door; absent: none
+  int acceptFd = -1;                     // of the clients' listener, if it was inherited
   std::size_t sockets = 1024;            // file descriptors that the process may hold
   std::size_t memoryMb = 192;            // beyond it the process is killed
   ochrehill::Duration connectTimeout{};  // for a new connection to a host
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -37,7 +37,8 @@
     : runtime_(runtime),
       upstream_(upstream),
       balancer_(settings, runtime.now()),
-      membership_(beliefsFor(settings)) {}
+      membership_(beliefsFor(settings)),
+      tallies_(settings.classes.size()) {}
 
 // --- Events -------------------------------------------------------------------------------------------
 
@@ -53,6 +54,7 @@
   open.ticket = ticket;
   open.deadline = now + open.call.facts.left;
   names_.insert(open.call.name);
+  ++unanswered_;
   applyBeliefs();
   balancer_.onRequest(now, open.call.facts);
   run();
@@ -63,6 +65,7 @@
   const auto it = calls_.find(id);
   if (it == calls_.end() || it->second.ended) return;
   it->second.ended = true;
+  --unanswered_;
   over_.push_back(id);
   balancer_.onClientGone(runtime_.now(), id);
   run();
@@ -111,6 +114,15 @@
   run();
 }
 
+Engine::Targets Engine::targets() const {
+  Targets targets;
+  for (const Membership::Named& host : membership_.named()) {
+    ++targets.listed;
+    targets.avoided += host.phase != ochrehill::Phase::in || balancer_.avoids(host.host);
+  }
+  return targets;
+}
+
 void Engine::settle(AttemptEnd end) {
   const auto it = calls_.find(end.key.call);
   if (it == calls_.end() || it->second.out == 0) return;
@@ -238,6 +250,13 @@
 
 void Engine::reply(CallId id, Open& open, Reply reply) {
   open.ended = true;
+  --unanswered_;
+  if (open.call.facts.classIndex < tallies_.size()) {
+    Tally& tally = tallies_[open.call.facts.classIndex];
+    ++(reply.verdict == Verdict::served    ? tally.served
+       : reply.verdict == Verdict::refused ? tally.refused
+                                           : tally.failed);
+  }
   over_.push_back(id);
   open.sink->onReply(open.ticket, std::move(reply));
 }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -45,6 +45,13 @@
     nameInUse  // an open call has this name: passed on, it would be a second copy of that one to the workers
   };
 
+  struct Targets {  // hosts that the list names, and those of them to which nothing is sent now
+    std::size_t listed = 0, avoided = 0;
+  };
+  struct Tally {
+    std::uint64_t served = 0, refused = 0, failed = 0;
+  };
+
   // All three must outlive the engine. Throws std::invalid_argument on settings that make no sense.
   Engine(const ochrehill::Settings& settings, Runtime& runtime, Upstream& upstream);
 
@@ -63,10 +70,14 @@
                  const std::function<void()>& before = nullptr);
   void wake();
 
+  Targets targets() const;
   const Membership& membership() const { return membership_; }
   const ochrehill::Balancer& balancer() const { return balancer_; }
   ochrehill::HostId findHost(std::string_view address) const { return balancer_.findHost(address); }
-  std::size_t openCalls() const { return calls_.size(); }   // also those whose attempt is not over yet
+  std::size_t openCalls() const { return calls_.size(); }  // also those whose attempt is not over yet
+  std::size_t unanswered() const { return unanswered_; }   // neither replied to nor abandoned
+  // Of each class of the settings, by its index: replies by their verdict since the start.
+  const std::vector<Tally>& tallies() const { return tallies_; }
   std::uint64_t violations() const { return violations_; }  // actions that would have broken a rule; want 0
 
  private:
@@ -99,6 +110,8 @@
   std::deque<AttemptEnd> ends_;                 // raised while actions are carried out
   std::vector<ochrehill::Action> actions_;      // being carried out; kept for its memory
   ochrehill::Time wakeAt_{};
+  std::vector<Tally> tallies_;
+  std::size_t unanswered_ = 0;
   CallId lastCall_ = 0;
   std::uint64_t violations_ = 0;
   ochrehill::Time linesAt_{};     // begin of the second in which
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -65,7 +65,7 @@
 
 }  // namespace
 
-HttpFront::HttpFront(asio::io_context& io, const asio::ip::tcp::endpoint& listen, HttpServer::Limits limits,
+HttpFront::HttpFront(asio::io_context& io, const Listen& listen, HttpServer::Limits limits,
                      const ochrehill::Settings& settings, Engine& engine, std::function<bool()> up)
     : settings_(settings),
       engine_(engine),
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -18,9 +18,8 @@
  public:
   // Listens at once; throws boost::system::system_error. `settings` and `engine` must outlive it. `up` tells
   // whether GET /up is answered 200.
-  HttpFront(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen,
-            HttpServer::Limits limits, const ochrehill::Settings& settings, Engine& engine,
-            std::function<bool()> up);
+  HttpFront(boost::asio::io_context& io, const Listen& listen, HttpServer::Limits limits,
+            const ochrehill::Settings& settings, Engine& engine, std::function<bool()> up);
   HttpFront(const HttpFront&) = delete;
   HttpFront& operator=(const HttpFront&) = delete;
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -31,6 +31,12 @@
 constexpr auto kSettle = std::chrono::milliseconds(50);       // a usual client has sent its request by then
 constexpr std::size_t kLookAt = 8;                            // sessions of a queue that are asked for room
 
+tcp::acceptor openAcceptor(asio::io_context& io, const Listen& listen) {
+  if (listen.inherited < 0) return tcp::acceptor(io, listen.endpoint, true);
+  const tcp family = listen.endpoint.address().is_v6() ? tcp::v6() : tcp::v4();
+  return tcp::acceptor(io, family, listen.inherited);
+}
+
 }  // namespace
 
 class HttpServer::Session : public std::enable_shared_from_this<Session> {
@@ -227,9 +233,10 @@
   bool begun_ = false, headSeen_ = false, armed_ = false, keepAlive_ = false;
 };
 
-HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& listen, Limits limits, Callbacks callbacks)
+HttpServer::HttpServer(asio::io_context& io, const Listen& listen, Limits limits, Callbacks callbacks)
     : io_(io),
-      acceptor_(io, listen, true),
+      acceptor_(openAcceptor(io, listen)),
+      shared_(listen.inherited >= 0),
       limits_(limits),
       callbacks_(std::move(callbacks)),
       sweeper_(io),
@@ -339,14 +346,21 @@
     });
 }
 
-void HttpServer::lastAnswers() { last_ = true; }
+void HttpServer::lastAnswers() {
+  last_ = true;
+  if (shared_) stopListening();  // what comes from now on is for those who hold it beside us
+}
 
-void HttpServer::stopAccepting() {
-  // Danger: what waits to be accepted may hold requests already; a closed listener would reset them.
-  takeWaiting(limits_.connections);
+void HttpServer::stopListening() {
   error_code ignored;
   acceptor_.close(ignored);
   again_.cancel();
+}
+
+void HttpServer::stopAccepting() {
+  // Danger: what waits to be accepted may hold requests already; a closed listener would reset them.
+  if (!shared_) takeWaiting(limits_.connections);
+  stopListening();
   for (const State state : {State::fresh, State::idle}) {
     const std::vector<std::shared_ptr<Session>> all(queue(state).begin(), queue(state).end());
     for (const auto& session : all)
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -25,6 +25,13 @@
   std::chrono::steady_clock::time_point began;  // its first byte
 };
 
+// Where to listen: an address, or a listening socket that was inherited and that others hold too, so what
+// waits to be accepted is not lost when this process closes it.
+struct Listen {
+  boost::asio::ip::tcp::endpoint endpoint;
+  int inherited = -1;  // its descriptor, owned from then on; below 0: none
+};
+
 class HttpServer {
  public:
   struct Limits {
@@ -42,8 +49,7 @@
   };
 
   // Listens at once. Throws boost::system::system_error.
-  HttpServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits,
-             Callbacks callbacks);
+  HttpServer(boost::asio::io_context& io, const Listen& listen, Limits limits, Callbacks callbacks);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -65,6 +71,7 @@
 
   void accept();
   bool takeWaiting(std::size_t most);
+  void stopListening();
   void admit(boost::asio::ip::tcp::socket socket);
   bool makeRoom();
   void keepRoom();
@@ -75,6 +82,7 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  const bool shared_;  // the listening socket outlives our descriptor of it
   Limits limits_;
   Callbacks callbacks_;
   boost::asio::steady_timer sweeper_, again_;
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -110,6 +110,7 @@
       if (self->phase != Phase::writing) return;
       // An error here means that the last byte was not written: it never ran.
       if (ec) return self->end(Outcome::connectFailed, Fault::lostInWrite);
+      self->pool->dispatched();
       self->read();
     });
   }
--- a/src/jsonrpc/upstream.cpp
+++ b/src/jsonrpc/upstream.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <deque>
 #include <queue>
 #include <string>
 #include <utility>
@@ -155,6 +156,7 @@
     pending.sentAt = now;
     pending.limit = now + std::max(limit, Duration::zero());
     pending.end = base_ + out_.size();
+    unwritten_.push_back(pending.end);
     ids_[key] = id;
     owner_->busy_.emplace(key, shared_from_this());
     dueAt(pending.limit, id);
@@ -228,6 +230,8 @@
       if (ec) break;
       sent_ += n;
     }
+    for (; !unwritten_.empty() && unwritten_.front() <= base_ + sent_; unwritten_.pop_front())
+      owner_->dispatched();
     if (ec && !wouldBlock(ec)) return close(Outcome::reset);
     if (sent_ == out_.size() || sent_ > kChunk) {
       base_ += sent_;
@@ -279,6 +283,9 @@
       if (each.end < gone.end) begin = std::max(begin, each.end);
     const std::uint64_t size = gone.end - begin;
     out_.erase(begin - base_, size);
+    std::erase(unwritten_, gone.end);
+    for (std::uint64_t& end : unwritten_)
+      if (end > gone.end) end -= size;
     for (auto& [other, each] : calls_)
       if (each.end > gone.end) each.end -= size;
     ids_.erase(gone.key);
@@ -396,8 +403,9 @@
   asio::steady_timer timer_;
   FrameReader reader_;
   std::string in_, out_;
-  std::size_t sent_ = 0;    // of out_
-  std::uint64_t base_ = 0;  // bytes sent before out_
+  std::size_t sent_ = 0;                 // of out_
+  std::uint64_t base_ = 0;               // bytes sent before out_
+  std::deque<std::uint64_t> unwritten_;  // ends of calls in out_, whose bytes are bounded (unsentBytes)
   std::unordered_map<std::uint64_t, Pending> calls_;
   std::unordered_map<AttemptKey, std::uint64_t, AttemptKeyHash> ids_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -247,6 +247,14 @@
 
 Duration Membership::listAge(Time now) const { return now - listAt_; }
 
+std::vector<Membership::Named> Membership::named() const {
+  std::vector<Named> all;
+  for (HostId id = 0; id < hosts_.size(); ++id)
+    if (hosts_[id].known && hosts_[id].phase != Phase::out)
+      all.push_back({id, hosts_[id].phase, hosts_[id].upSince});
+  return all;
+}
+
 std::size_t Membership::listed() const {
   return static_cast<std::size_t>(
       std::count_if(hosts_.begin(), hosts_.end(), [](const Host& h) { return h.phase == Phase::in; }));
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -116,6 +116,7 @@
 
   Belief of(ochrehill::HostId host, ochrehill::Time now) const;  // gone, if it was never named
   ochrehill::Duration listAge(ochrehill::Time now) const;        // since discovery last spoke, by any answer
+  std::vector<Named> named() const;                              // by the list: serving or draining
   std::size_t listed() const;                                    // told to serve
   std::size_t unreachable() const;                               // of these
 
--- a/src/upstream/host_upstream.hpp
+++ b/src/upstream/host_upstream.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <unordered_map>
 #include <utility>
@@ -25,12 +26,14 @@
   virtual void stop() = 0;       // closes all without a word
   virtual std::size_t connections() const = 0;
   virtual std::size_t hosts() const = 0;
+  std::uint64_t dispatches() const { return dispatches_; }       // attempts written to their last byte
   HostConnections connectionsOf(ochrehill::HostId host) const {  // none, if it is not known
     const auto known = counts_.find(host);
     return known == counts_.end() ? HostConnections{} : known->second;
   }
 
  protected:
+  void dispatched() { ++dispatches_; }
   // From here on its connections are counted. Told also that there are none, or one that can't be dialled
   // would be guessed at.
   void countFrom(ochrehill::HostId host) { tell(host, counts_[host]); }
@@ -53,6 +56,7 @@
   }
 
   ConnectionsChanged connectionsChanged_;
+  std::uint64_t dispatches_ = 0;
   std::unordered_map<ochrehill::HostId, HostConnections> counts_;  // of the hosts that are known
 };
 
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -19,7 +19,8 @@
 allow upstream core
 allow http core upstream
 allow jsonrpc core discovery upstream
-allow app core config discovery http jsonrpc upstream standins
+allow ops
+allow app core config discovery http jsonrpc ops upstream standins
 # Beliefs know no protocol, no socket and no clock.
 if grep -nEi 'boost|socket|steady_clock|system_clock' membership/*.?pp | grep -v '//'; then
   echo "src/membership knows more than it should"; bad=1
