New settings at SIGHUP: classes come, change and go; a file is taken whole or not

Need: the operators' files add, change and drop classes and lower the attempts under load, and some of them are bad.

ClassTable (src/core) gives a changed class an index of its own while calls hold the old one; Balancer::configure takes settings at work and keeps what was learned by name (src/reconfigure.cpp, nothing decided there). A file that lacks a key of the one in force, or has a deadline or number of attempts that is no number above 0, is turned down whole.

--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -170,6 +170,11 @@
   Balancer(Balancer&&) noexcept;
   Balancer& operator=(Balancer&&) noexcept;
 
+  // New settings while requests are open. An open request keeps its class's index, so at each index that one
+  // has the class must be as it was; others may be given anew. Seed, zone, number, groupSize, askDiscovery,
+  // streamsPerConnection and step stay as they were at the start. Throws like the constructor, and then
+  // nothing has changed.
+  void configure(Time now, Settings settings);
   void onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
   void onRequest(Time now, const Request& request);
   void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -78,7 +78,7 @@
       waker_(io),
       drainTimer_(io),
       http_(io, {config.listen, config.acceptFd},
-            clientLimits(config, waits.clients, jsonRpc.listen.has_value()), settings_, engine_,
+            clientLimits(config, waits.clients, jsonRpc.listen.has_value()), settings_.tenants, engine_,
             [this] { return ready_ && !draining_; }) {
   upstream_->onConnections(
       [this](HostId host, HostConnections now) { engine_.connectionsChanged(host, now); });
@@ -182,10 +182,8 @@
 
 ops::Figures Gateway::figures() const {
   ops::Figures figures;
-  for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
-    const Engine::Tally& tally = engine_.tallies()[i];
-    figures.classes.push_back({settings_.classes[i].name, tally.served, tally.refused, tally.failed});
-  }
+  for (const Engine::Tally& tally : engine_.tallies())
+    figures.classes.push_back({tally.name, tally.served, tally.refused, tally.failed});
   figures.dispatches = upstream_->dispatches();
   figures.concurrent = engine_.unanswered();
   const Engine::Targets targets = engine_.targets();
@@ -205,8 +203,18 @@
 
 // --- Reload and drain -----------------------------------------------------------------------------------
 
-// The listener and the module's settings stay as they are until a restart: answers are owed by them.
-void Gateway::reload(const Config& config) {
+// The listeners stay as they are until a restart, and so does what JSON-RPC was given beside its classes.
+void Gateway::reload(const Config& config, const jsonrpc::Settings& jsonRpc) {
+  const ochrehill::Settings next = moduleSettings(config, jsonRpcSettings_);
+  if (!engine_.configure(next)) throw BadConfig("grades: more classes than there is room for");
+  settings_ = next;
+  http_.setTenants(settings_.tenants);
+  // In place: the front goes by them. A method's class has its index in the file, and another one at work.
+  for (std::size_t i = 0; i < jsonRpcSettings_.methods.size() && i < jsonRpc.methods.size(); ++i) {
+    jsonrpc::MethodSettings& method = jsonRpcSettings_.methods[i];
+    method = jsonRpc.methods[i];
+    method.classIndex = engine_.classes().current().at(next.classes[method.classIndex].name);
+  }
   ++reloads_;
   discovery_.moveTo(config.discovery);
   limitUpstream_(config);
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -44,7 +44,8 @@
   boost::asio::ip::tcp::endpoint listeningJsonRpc() const { return jsonRpc_->listening(); }
   const jsonrpc::Front* jsonRpc() const { return jsonRpc_.get(); }  // null: off
   // A new configuration: its discovery and limits hold from now on. What is under way goes on.
-  void reload(const Config& config);
+  // Resolved as for the constructor. Throws BadConfig, and then nothing has changed.
+  void reload(const Config& config, const jsonrpc::Settings& jsonRpc = {});
   void reloadFailed() { ++reloadFailures_; }  // a file was turned down
   ops::Figures figures() const;
   const ops::Door* door() const { return door_.get(); }  // null: none
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -36,26 +36,38 @@
       reading);
 }
 
-jsonrpc::Settings readJsonRpc(const Files& files, Config& config) {
-  if (files.jsonRpc.empty()) return {};
-  jsonrpc::Settings settings = jsonrpc::readSettings(files.jsonRpc);
+jsonrpc::Settings readJsonRpc(const Files& files) {
+  return files.jsonRpc.empty() ? jsonrpc::Settings{} : jsonrpc::readSettings(files.jsonRpc);
+}
+
+jsonrpc::Settings resolved(jsonrpc::Settings settings, Config& config) {
   jsonrpc::resolve(settings, config.module);
   return settings;
 }
 
+// What a running gateway was told by files, for the next reading of them.
+struct InForce {
+  cairnjunction::ConfigShape shape;
+  const jsonrpc::Settings jsonRpc;  // as read: of these only the classes can change
+};
+
 // SIGHUP: the file is read anew. A bad one is a line in the log, and the old settings go on.
-void reloadAtEachHangup(boost::asio::signal_set& hangups, cairnjunction::Gateway& gateway,
-                        const Files& files) {
+void reloadAtEachHangup(boost::asio::signal_set& hangups, cairnjunction::Gateway& gateway, const Files& files,
+                        InForce& inForce) {
   hangups.async_wait([&](boost::system::error_code ec, int) {
     if (ec) return;
     try {
-      gateway.reload(readFile(files, Reading::again));
+      Config config = readFile(files, Reading::again);
+      cairnjunction::requireShape(inForce.shape, config.shape);
+      const jsonrpc::Settings jsonRpc = resolved(inForce.jsonRpc, config);
+      gateway.reload(config, jsonRpc);
+      inForce.shape = config.shape;
       log("configuration read again");
     } catch (const std::exception& bad) {
       gateway.reloadFailed();
       log(std::string("configuration not taken: ") + bad.what());
     }
-    reloadAtEachHangup(hangups, gateway, files);
+    reloadAtEachHangup(hangups, gateway, files, inForce);
   });
 }
 
@@ -64,12 +76,13 @@
   // Danger: until they are taken, signals end the process; so before anything that takes its time.
   boost::asio::signal_set stops(io, SIGTERM, SIGINT), hangups(io, SIGHUP);
   Config config = readFile(files, Reading::atStart);
-  const jsonrpc::Settings settings = readJsonRpc(files, config);
+  InForce inForce{config.shape, readJsonRpc(files)};
+  const jsonrpc::Settings settings = resolved(inForce.jsonRpc, config);
   cairnjunction::Gateway gateway(io, config, {}, log, settings);
   stops.async_wait([&](boost::system::error_code ec, int) {
     if (!ec) gateway.drain([&] { io.stop(); });
   });
-  reloadAtEachHangup(hangups, gateway, files);
+  reloadAtEachHangup(hangups, gateway, files, inForce);
   io.run();
   return 0;
 }
@@ -80,7 +93,7 @@
     return std::string_view(name) == "GW_CONFIG" ? files.config.c_str() : nullptr;
   });
   const std::size_t classes = config.module.classes.size();
-  const jsonrpc::Settings settings = readJsonRpc(files, config);
+  const jsonrpc::Settings settings = resolved(readJsonRpc(files), config);
   std::cout << files.config << ": good: " << classes << " classes, listens on " << config.listen << '\n';
   if (!files.jsonRpc.empty()) {
     std::cout << files.jsonRpc << ": good: " << settings.methods.size() << " methods, ";
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -18,6 +18,11 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
+void Balancer::configure(Time now, Settings settings) {
+  validate(settings);
+  impl_->event(now, [&] { impl_->configure(std::move(settings)); });
+}
+
 void Balancer::onHosts(Time now, ListKind kind, const std::vector<HostEntry>& entries) {
   impl_->event(now, [&] { impl_->onHosts(kind, entries); });
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,6 @@
 #include "config/config.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <limits>
@@ -35,8 +36,18 @@
   return *it;
 }
 
+// A number above 0, where there is one.
+void requirePositive(const json& object, const char* name) {
+  const auto it = object.find(name);
+  if (it == object.end()) return;
+  if (!it->is_number() || it->get<double>() <= 0)
+    throw BadConfig(std::string(name) + ": " + it->dump() + " is no number above 0");
+}
+
 ochrehill::ClassSettings readClass(const json& grade) {
   if (!grade.is_object()) throw BadConfig("grades: an entry is no object");
+  requirePositive(grade, "aimNs");
+  requirePositive(grade, "giveUpNs");
   ochrehill::ClassSettings c;
   std::string effect = "fragile", group = "all";
   read(grade, "name", c.name);
@@ -79,6 +90,7 @@
   const json& ceilings = part(settings, "ceilings");
   read(ceilings, "retryAfter", s.retryAfter);
   read(ceilings, "cancel", s.cancel);
+  requirePositive(ceilings, "maxAttempts");
   read(ceilings, "maxAttempts", s.maxAttempts);
   read(ceilings, "idleCloseNs", s.idleClose);
   read(ceilings, "maxRetryAfterNs", s.maxRetryAfter);
@@ -95,6 +107,10 @@
   const auto grades = settings.find("grades");
   if (grades == settings.end() || !grades->is_array()) throw BadConfig("grades: missing or no list");
   for (const json& grade : *grades) s.classes.push_back(readClass(grade));
+  for (std::size_t i = 0; i < s.classes.size(); ++i)
+    for (std::size_t j = 0; j < i; ++j)
+      if (s.classes[i].name == s.classes[j].name)
+        throw BadConfig("grades: '" + s.classes[i].name + "' stands there twice");
   if (const auto tenants = settings.find("tenants"); tenants != settings.end() && tenants->is_array())
     for (const json& tenant : *tenants) {
       ochrehill::TenantSettings t;
@@ -141,8 +157,36 @@
   }
 }
 
+void addShape(const json& object, const std::string& path, ConfigShape& shape) {
+  for (const auto& [key, value] : object.items()) {
+    if (path.empty() && (key == "known" || key == "seed")) continue;
+    shape.push_back(path + key);
+    if (value.is_object()) addShape(value, path + key + "/", shape);
+  }
+}
+
+void addClassShape(const json& grades, ConfigShape& shape) {  // as read by readClass
+  for (const auto& [key, value] : grades.at(0).items())
+    if (std::all_of(grades.begin(), grades.end(), [&, k = key](const json& c) { return c.contains(k); }))
+      shape.push_back("settings/grades/*/" + key);
+}
+
+ConfigShape shapeOf(const json& config) {
+  ConfigShape shape;
+  addShape(config, "", shape);
+  addClassShape(config.at("settings").at("grades"), shape);
+  std::sort(shape.begin(), shape.end());
+  return shape;
+}
+
 }  // namespace
 
+void requireShape(const ConfigShape& inForce, const ConfigShape& next) {
+  for (const std::string& key : inForce)
+    if (!std::binary_search(next.begin(), next.end(), key))
+      throw BadConfig("'" + key + "' is missing, which the file in force has");
+}
+
 Config parseConfig(const json& json, const Environment& environment, Reading reading) {
   if (!json.is_object()) throw BadConfig("the configuration is no object");
   Config config;
@@ -171,6 +215,7 @@
   } catch (const std::invalid_argument& bad) {
     throw BadConfig(bad.what());
   }
+  config.shape = shapeOf(json);
   return config;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "discovery/host_list.hpp"
 #include "ochrehill/ochrehill.hpp"
@@ -22,6 +23,10 @@
   using std::runtime_error::runtime_error;
 };
 
+// The keys of a file's objects, as paths with '/' between them, in order, and of its classes those that all
+// of them have. Without what may come and go: the known hosts and the seed.
+using ConfigShape = std::vector<std::string>;
+
 struct Config {
   std::string name;
   tcp::endpoint listen, discovery;
@@ -32,6 +37,7 @@
   ochrehill::Duration connectTimeout{};  // for a new connection to a host
   ochrehill::Settings module;            // for the decisions
   std::optional<HostList> known;         // hosts as last had; may be old
+  ConfigShape shape;                     // of the file
 };
 
 using Environment = std::function<const char*(const char*)>;  // as getenv
@@ -40,6 +46,10 @@
 // started with, so when the file is read again, what stands in it is the newer word.
 enum class Reading { atStart, again };
 
+// Throws BadConfig that names a key of the file in force which the next one lacks: it would fall back to a
+// default that nobody wrote.
+void requireShape(const ConfigShape& inForce, const ConfigShape& next);
+
 // Both throw BadConfig with one line that says what is wrong.
 Config readConfig(const Environment& environment, Reading reading = Reading::atStart);
 Config parseConfig(const nlohmann::json& json, const Environment& environment,
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -17,6 +17,9 @@
 // Lines on what is believed of hosts: so many in a second.
 constexpr int kLinesMost = 10;
 constexpr Duration kLinesEvery = std::chrono::seconds(1);
+// Names of classes since the start, whose counts are kept: a program that makes up names would fill the
+// memory.
+constexpr std::size_t kNamesMost = 4096;
 
 std::string secondsText(Duration d) {
   const auto tenths = std::chrono::duration_cast<std::chrono::milliseconds>(d).count() / 100;
@@ -38,7 +41,9 @@
       upstream_(upstream),
       balancer_(settings, runtime.now()),
       membership_(beliefsFor(settings)),
-      tallies_(settings.classes.size()) {}
+      classes_(settings.classes) {
+  renewTallies();
+}
 
 // --- Events -------------------------------------------------------------------------------------------
 
@@ -114,6 +119,33 @@
   run();
 }
 
+bool Engine::configure(ochrehill::Settings settings) {
+  std::vector<bool> held(classes_.byIndex().size(), false);
+  for (const auto& [id, open] : calls_)
+    if (open.call.facts.classIndex < held.size()) held[open.call.facts.classIndex] = true;
+  auto next = classes_.with(settings.classes,
+                            [&](std::uint32_t index) { return index < held.size() && held[index]; });
+  if (!next || tallies_.size() + settings.classes.size() > kNamesMost) return false;
+  settings.classes = next->byIndex();
+  const ochrehill::Duration coldTime = settings.coldTime;
+  balancer_.configure(runtime_.now(), std::move(settings));
+  membership_.setColdTime(coldTime);
+  classes_ = std::move(*next);
+  renewTallies();
+  run();
+  return true;
+}
+
+void Engine::renewTallies() {
+  tallyOf_.clear();
+  for (const ochrehill::ClassSettings& c : classes_.byIndex()) {
+    const auto known = std::find_if(tallies_.begin(), tallies_.end(),
+                                    [&](const Tally& tally) { return tally.name == c.name; });
+    tallyOf_.push_back(static_cast<std::size_t>(known - tallies_.begin()));
+    if (known == tallies_.end()) tallies_.push_back({c.name});
+  }
+}
+
 Engine::Targets Engine::targets() const {
   Targets targets;
   for (const Membership::Named& host : membership_.named()) {
@@ -251,8 +283,8 @@
 void Engine::reply(CallId id, Open& open, Reply reply) {
   open.ended = true;
   --unanswered_;
-  if (open.call.facts.classIndex < tallies_.size()) {
-    Tally& tally = tallies_[open.call.facts.classIndex];
+  if (open.call.facts.classIndex < tallyOf_.size()) {
+    Tally& tally = tallies_[tallyOf_[open.call.facts.classIndex]];
     ++(reply.verdict == Verdict::served    ? tally.served
        : reply.verdict == Verdict::refused ? tally.refused
                                            : tally.failed);
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "core/call.hpp"
+#include "core/class_table.hpp"
 #include "membership/membership.hpp"
 #include "ochrehill/ochrehill.hpp"
 
@@ -48,7 +49,8 @@
   struct Targets {  // hosts that the list names, and those of them to which nothing is sent now
     std::size_t listed = 0, avoided = 0;
   };
-  struct Tally {
+  struct Tally {  // of the classes of one name
+    std::string name;
     std::uint64_t served = 0, refused = 0, failed = 0;
   };
 
@@ -70,13 +72,18 @@
                  const std::function<void()>& before = nullptr);
   void wake();
 
+  // New settings; their classes go by `classes()` from now on. Open calls keep theirs. False, and nothing has
+  // changed, if there are more classes than the table or the figures have room for. Throws
+  // std::invalid_argument like the constructor.
+  bool configure(ochrehill::Settings settings);
+  const ClassTable& classes() const { return classes_; }
   Targets targets() const;
   const Membership& membership() const { return membership_; }
   const ochrehill::Balancer& balancer() const { return balancer_; }
   ochrehill::HostId findHost(std::string_view address) const { return balancer_.findHost(address); }
   std::size_t openCalls() const { return calls_.size(); }  // also those whose attempt is not over yet
   std::size_t unanswered() const { return unanswered_; }   // neither replied to nor abandoned
-  // Of each class of the settings, by its index: replies by their verdict since the start.
+  // Replies by their verdict since the start, for each name that a class has had.
   const std::vector<Tally>& tallies() const { return tallies_; }
   std::uint64_t violations() const { return violations_; }  // actions that would have broken a rule; want 0
 
@@ -99,6 +106,7 @@
   void settle(AttemptEnd end);
   void reply(CallId id, Open& open, Reply reply);
   void dropOver();
+  void renewTallies();
 
   Runtime& runtime_;
   Upstream& upstream_;
@@ -110,7 +118,9 @@
   std::deque<AttemptEnd> ends_;                 // raised while actions are carried out
   std::vector<ochrehill::Action> actions_;      // being carried out; kept for its memory
   ochrehill::Time wakeAt_{};
+  ClassTable classes_;
   std::vector<Tally> tallies_;
+  std::vector<std::size_t> tallyOf_;  // into tallies_, by class
   std::size_t unanswered_ = 0;
   CallId lastCall_ = 0;
   std::uint64_t violations_ = 0;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -66,17 +66,20 @@
 }  // namespace
 
 HttpFront::HttpFront(asio::io_context& io, const Listen& listen, HttpServer::Limits limits,
-                     const ochrehill::Settings& settings, Engine& engine, std::function<bool()> up)
-    : settings_(settings),
-      engine_(engine),
+                     const std::vector<ochrehill::TenantSettings>& tenants, Engine& engine,
+                     std::function<bool()> up)
+    : engine_(engine),
       up_(std::move(up)),
       server_(io, listen, limits,
               {[this](ClientRequest request) { received(std::move(request)); },
                [this](ExchangeId exchange) { clientGone(exchange); }}) {
-  for (std::size_t i = 0; i < settings_.classes.size(); ++i)
-    classOf_.emplace(settings_.classes[i].name, static_cast<std::uint32_t>(i));
-  for (std::size_t i = 0; i < settings_.tenants.size(); ++i)
-    tenantOf_.emplace(settings_.tenants[i].name, static_cast<std::uint32_t>(i));
+  setTenants(tenants);
+}
+
+void HttpFront::setTenants(const std::vector<ochrehill::TenantSettings>& tenants) {
+  tenantOf_.clear();
+  for (std::size_t i = 0; i < tenants.size(); ++i)
+    tenantOf_.emplace(tenants[i].name, static_cast<std::uint32_t>(i));
 }
 
 void HttpFront::received(ClientRequest request) {
@@ -89,7 +92,7 @@
   if (status != http::status::ok) return server_.answer(request.exchange, plain(status));
   call.facts.left -= (Clock::now() - request.began) + kAnswerMargin;
   call.message = messageOf(message);
-  call.message.operation = settings_.classes[call.facts.classIndex].name;
+  call.message.operation = engine_.classes().byIndex()[call.facts.classIndex].name;
   // The id is known before the reply may come, which takes it out again.
   CallId& id = open_[request.exchange];
   if (engine_.take(std::move(call), *this, request.exchange, &id) == Engine::Taken::yes) return;
@@ -100,10 +103,11 @@
 // What the module is to know of a request; `ok`, or the status to answer.
 http::status HttpFront::describe(const HttpRequest& message, Call& call) const {
   ochrehill::Request& request = call.facts;
-  const auto found = classOf_.find(std::string(firstPart(message.target())));
-  if (found == classOf_.end()) return http::status::not_found;
+  const ClassIndexes& classes = engine_.classes().current();
+  const auto found = classes.find(std::string(firstPart(message.target())));
+  if (found == classes.end()) return http::status::not_found;
   request.classIndex = found->second;
-  const ochrehill::ClassSettings& c = settings_.classes[found->second];
+  const ochrehill::ClassSettings& c = engine_.classes().byIndex()[found->second];
   if (message.count("X-Class") && message["X-Class"] != string_view(c.name)) return http::status::bad_request;
   call.name = message["X-Request-Id"].to_string();
   if (call.name.empty()) return http::status::bad_request;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -93,6 +93,7 @@
   };
 
   explicit Membership(Settings settings) : settings_(settings) {}
+  void setColdTime(ochrehill::Duration coldTime) { settings_.coldTime = coldTime; }
 
   // The list, whole or in part; a host that a whole one leaves out is gone. `restored`: from before our
   // start.
--- a/src/policy/module.hpp
+++ b/src/policy/module.hpp
@@ -72,6 +72,7 @@
   int loggedCut = 0;
 
   Module(Settings s, Time t);
+  void configure(Settings next);  // src/reconfigure.cpp
 
   // --- timers
   void onWake();
--- a/tests/app/config_test.cpp
+++ b/tests/app/config_test.cpp
@@ -114,5 +114,51 @@
   EXPECT_EQ(parseConfig(j, environment, Reading::again).discovery.port(), 6);
 }
 
+TEST(Config, DeadlinesAndAttemptsAreNumbersAboveZero) {
+  for (const json& bad : {json(0), json(-5), json("soon"), json(nullptr), json::array()}) {
+    json j = configJson();
+    j["settings"]["grades"][1]["giveUpNs"] = bad;
+    expectBad(j, "giveUpNs");
+    j = configJson();
+    j["settings"]["grades"][1]["aimNs"] = bad;
+    expectBad(j, "aimNs");
+    j = configJson();
+    j["settings"]["ceilings"]["maxAttempts"] = bad;
+    expectBad(j, "maxAttempts");
+  }
+  json j = configJson();
+  j["settings"]["grades"].push_back(j["settings"]["grades"][0]);
+  expectBad(j, "twice");
+}
+
+TEST(Config, AKeyThatTheFileInForceHasMayNotBeMissing) {
+  const json whole = configJson();
+  const ConfigShape inForce = parse(whole).shape;
+  EXPECT_NO_THROW(requireShape(inForce, parse(whole).shape));
+  json more = whole;
+  more["settings"]["rules"]["new"] = 1;
+  EXPECT_NO_THROW(requireShape(inForce, parse(more).shape));
+  json without = whole;
+  without.erase("seed");
+  EXPECT_NO_THROW(requireShape(inForce, parse(without).shape)) << "new with each start";
+  const auto lacks = [&](const json& next, const std::string& key) {
+    try {
+      requireShape(inForce, parse(next).shape);
+      ADD_FAILURE() << "taken without " << key;
+    } catch (const BadConfig& bad) {
+      EXPECT_NE(std::string(bad.what()).find(key), std::string::npos) << bad.what();
+    }
+  };
+  without = whole;
+  without.erase("limits");
+  lacks(without, "limits");
+  without = whole;
+  without["settings"]["ceilings"].erase("maxAttempts");
+  lacks(without, "settings/ceilings/maxAttempts");
+  without = whole;
+  without["settings"]["grades"][2].erase("giveUpNs");
+  lacks(without, "giveUpNs");
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
--- a/tests/app/gateway_test.cpp
+++ b/tests/app/gateway_test.cpp
@@ -820,5 +820,41 @@
   EXPECT_TRUE(until([&] { return silent.requests.size() == 2; })) << "and its watch begins";
 }
 
+TEST_F(GatewayTest, ClassesComeChangeAndGoAtAReloadAndOpenCallsKeepTheirs) {
+  std::vector<std::shared_ptr<PeerConnection>> held;
+  bool hold = true;
+  const Script script = [&](PeerConnection& c, std::size_t) {
+    if (hold) held.push_back(c.shared_from_this());
+    else c.reply(answerText(200, "", "x"));
+  };
+  twoHosts(script);
+  auto open = client();
+  open->send(text("read"));
+  ASSERT_TRUE(until([&] { return held.size() == 1; }));
+  // "read" must not run twice from now on, "write" is gone and "new" has come.
+  auto& grades = config["settings"]["grades"];
+  grades = json::array(
+      {classJson("read", "fragile"), classJson("put", "dedup", "zone"), classJson("new", "fragile")});
+  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  EXPECT_EQ(ask(text("write")).result_int(), 404u);
+  EXPECT_EQ(ask(text("read")).result_int(), 405u) << "no GET, now that it is unsafe";
+  hold = false;
+  EXPECT_EQ(ask(text("new")).result_int(), 200u);
+  const std::size_t before = reached.size();
+  held[0]->reset();  // it may have run, and is of a class that may run again
+  ASSERT_TRUE(until([&] { return !open->answers.empty(); }));
+  EXPECT_EQ(open->answers[0].result_int(), 200u);
+  EXPECT_EQ(reached.size(), before + 1);
+  hold = true;
+  auto strict = client();
+  strict->send("POST /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: s1\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(until([&] { return held.size() == 2; }));
+  held[1]->reset();
+  ASSERT_TRUE(until([&] { return !strict->answers.empty(); }));
+  EXPECT_EQ(strict->answers[0].result_int(), 502u) << "it may have run, and must not run again";
+  EXPECT_EQ(reached.size(), before + 2);
+  EXPECT_EQ(gateway->figures().reloadSuccess, 1u);
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
--- /dev/null
+++ b/tests/core/class_table_test.cpp
@@ -0,0 +1,93 @@
+// Classes by index, through changes of the settings.
+#include "core/class_table.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace cairnjunction::testing {
+namespace {
+
+using ochrehill::ClassSettings;
+using ochrehill::Effect;
+
+ClassSettings named(const std::string& name, Effect effect = Effect::fragile) {
+  ClassSettings c;
+  c.name = name;
+  c.effect = effect;
+  c.aim = c.giveUp = std::chrono::seconds(1);
+  return c;
+}
+bool none(std::uint32_t) { return false; }
+bool all(std::uint32_t) { return true; }
+
+TEST(ClassTable, WhatStaysKeepsItsIndex) {
+  const ClassTable table({named("a"), named("b")});
+  const auto next = table.with({named("b"), named("a")}, all);
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->current().at("a"), 0u);
+  EXPECT_EQ(next->current().at("b"), 1u);
+  EXPECT_EQ(next->byIndex().size(), 2u);
+}
+
+TEST(ClassTable, AChangedClassHasAnotherIndexWhileACallHoldsItsOldOne) {
+  const ClassTable table({named("a", Effect::retryable)});
+  const auto next = table.with({named("a", Effect::fragile)}, all);
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->current().at("a"), 1u);
+  EXPECT_EQ(next->byIndex()[0].effect, Effect::retryable) << "a call goes by it";
+  const auto free = table.with({named("a", Effect::fragile)}, none);
+  ASSERT_TRUE(free);
+  EXPECT_EQ(free->current().at("a"), 0u) << "given out again";
+}
+
+TEST(ClassTable, WhatIsOverIsNoLongerFoundByName) {
+  const ClassTable table({named("a"), named("b")});
+  const auto next = table.with({named("b")}, all);
+  ASSERT_TRUE(next);
+  EXPECT_FALSE(next->current().contains("a"));
+  EXPECT_EQ(next->byIndex().size(), 2u);
+}
+
+TEST(ClassTable, ItsSizeIsBounded) {
+  ClassTable table({named("a")});
+  for (std::size_t i = 0; i + 1 < ClassTable::kMost; ++i) {
+    auto next = table.with({named("a" + std::to_string(i))}, all);
+    ASSERT_TRUE(next) << i;
+    table = std::move(*next);
+  }
+  EXPECT_FALSE(table.with({named("one more")}, all));
+  EXPECT_TRUE(table.with({named("one more")}, none)) << "nothing holds the others";
+}
+
+TEST(ClassTable, OverRandomChangesAHeldIndexNeverChangesItsMeaning) {
+  std::mt19937 random(20261201);
+  for (int run = 0; run < 50; ++run) {
+    ClassTable table({named("a"), named("b"), named("c")});
+    std::vector<bool> held(ClassTable::kMost, false);
+    for (int step = 0; step < 60; ++step) {
+      std::vector<ClassSettings> classes;
+      for (const char* name : {"a", "b", "c", "d", "e"})
+        if (random() % 3 > 0) classes.push_back(named(name, static_cast<Effect>(random() % 3)));
+      if (classes.empty()) classes.push_back(named("z"));
+      for (std::size_t i = 0; i < table.byIndex().size(); ++i) held[i] = random() % 2 == 0;
+      const auto next = table.with(classes, [&](std::uint32_t i) { return held[i]; });
+      ASSERT_TRUE(next);
+      ASSERT_EQ(next->current().size(), classes.size());
+      for (const ClassSettings& c : classes) {
+        const ClassSettings& at = next->byIndex()[next->current().at(c.name)];
+        ASSERT_EQ(at.name, c.name);
+        ASSERT_EQ(at.effect, c.effect);
+      }
+      for (std::size_t i = 0; i < table.byIndex().size(); ++i) {
+        if (!held[i]) continue;
+        ASSERT_EQ(next->byIndex()[i].name, table.byIndex()[i].name);
+        ASSERT_EQ(next->byIndex()[i].effect, table.byIndex()[i].effect);
+      }
+      table = *next;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cairnjunction::testing
