Large answers are passed on while they come; large and slow requests are held by pace

Ruled out: hosts (2 errors in 5 s) and the cut's error overload (below zero throughout).

Heads have 2.5 s, bodies a least pace. Trailers, Expect and answers that end with their connection are understood; a client's time counts from its last byte.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -21,8 +21,11 @@
 
 // The module's clock at our start: hosts that started up to a day before have a time of their own on it.
 constexpr Time kClockStart = std::chrono::hours(24);
-// Of the memory, for bodies of requests: each may be held three times, and its answer beside it.
-constexpr std::size_t kBodyPart = 8;
+// Of the memory, for bodies of requests: each is held twice while it is written to a host.
+constexpr std::size_t kBodyPart = 4;
+// JSON-RPC holds texts and replies; and what workers that speak it are given is one frame of theirs.
+constexpr std::size_t kTextPart = 8;
+constexpr std::uint64_t kJsonBodyMost = 64 << 10;
 // Clients have a third of the descriptors at most for requests; so much of that third is kept by those that
 // have asked, and a quarter is free for those that come.
 constexpr std::size_t kClientPart = 3;
@@ -50,9 +53,12 @@
   return settings;
 }
 
-HttpServer::Limits clientLimits(const Config& config, HttpServer::Limits waits, bool both) {
+HttpServer::Limits clientLimits(const Config& config, HttpServer::Limits waits,
+                                const jsonrpc::Settings& jsonRpc) {
+  const bool both = jsonRpc.listen.has_value();
   waits.connections = std::min(waits.connections, clientConnections(config, both));
   waits.kept = std::min(waits.kept, config.sockets / kClientPart * kKeptNum / kKeptDen);
+  if (jsonRpc.workers.jsonRpc) waits.bodyMost = std::min(waits.bodyMost, kJsonBodyMost);
   waits.bodyBytes = std::min(waits.bodyBytes, (config.memoryMb << 20) / kBodyPart);
   return waits;
 }
@@ -77,15 +83,14 @@
           waits.discovery),
       waker_(io),
       drainTimer_(io),
-      http_(io, {config.listen, config.acceptFd},
-            clientLimits(config, waits.clients, jsonRpc.listen.has_value()), settings_.tenants, engine_,
-            [this] { return ready_ && !draining_; }) {
+      http_(io, {config.listen, config.acceptFd}, clientLimits(config, waits.clients, jsonRpc),
+            settings_.tenants, engine_, [this] { return ready_ && !draining_; }) {
   upstream_->onConnections(
       [this](HostId host, HostConnections now) { engine_.connectionsChanged(host, now); });
   if (jsonRpcSettings_.listen) {
     jsonrpc::FrontLimits& limits = jsonRpcSettings_.limits;
     limits.connections = std::min(limits.connections, clientConnections(config, true));
-    limits.bytes = std::min(limits.bytes, (config.memoryMb << 20) / kBodyPart);
+    limits.bytes = std::min(limits.bytes, (config.memoryMb << 20) / kTextPart);
     // Names of calls go into headers of workers that speak HTTP.
     std::string prefix = config.name;
     std::replace_if(
@@ -112,7 +117,8 @@
 std::unique_ptr<HostUpstream> Gateway::makeUpstream(const Config& config) {
   const auto ended = [this](AttemptEnd end) { engine_.attemptEnded(std::move(end)); };
   if (!jsonRpcSettings_.workers.jsonRpc) {
-    auto upstream = std::make_unique<HttpUpstream>(io_, hostLimits(config), ended);
+    auto upstream = std::make_unique<HttpUpstream>(
+        io_, hostLimits(config), ended, [this](AttemptEnd end) { engine_.answerStarted(std::move(end)); });
     limitUpstream_ = [to = upstream.get()](const Config& c) { to->setLimits(hostLimits(c)); };
     return upstream;
   }
@@ -218,7 +224,7 @@
   ++reloads_;
   discovery_.moveTo(config.discovery);
   limitUpstream_(config);
-  http_.server().setLimits(clientLimits(config, waits_.clients, jsonRpc_ != nullptr));
+  http_.server().setLimits(clientLimits(config, waits_.clients, jsonRpcSettings_));
 }
 
 void Gateway::drain(std::function<void()> done) {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,4 +1,6 @@
 // The program: command line, configuration, signals, exit codes.
+#include <malloc.h>
+
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -142,6 +144,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Large bodies go back to the system when they are done with: by default the allocator keeps ever larger
+  // pieces of them, and their sizes differ.
+  mallopt(M_MMAP_THRESHOLD, 128 << 10);
   std::signal(SIGPIPE, SIG_IGN);  // a peer that left shows as an error of the write
   try {
     return run(argc, argv);
--- a/src/core/call.hpp
+++ b/src/core/call.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "core/message.hpp"
@@ -17,6 +18,7 @@
   std::string key;           // by which workers drop repeats; empty: none
   ochrehill::Request facts;  // for the decisions; its id is the engine's to set
   Message message;
+  bool streams = false;  // its front can pass on an answer with Message::rest
 };
 
 enum class Verdict {
@@ -65,8 +67,12 @@
   bool kept = false;
 };
 
+// An attempt whose answer is passed on while it comes, told as served when that begins; how it came to its
+// end is told after that as the end of every attempt is. Only for calls with Call::streams.
+using AnswerStarted = std::function<void(AttemptEnd)>;
+
 struct HostConnections {
-  std::uint32_t open = 0;  // established or being opened
+  std::uint32_t open = 0;  // established or being opened, and not passing on an answer
   std::uint32_t up = 0;    // established
 };
 
@@ -75,7 +81,7 @@
 class Upstream {
  public:
   virtual ~Upstream() = default;
-  // `call` is valid only during this function. `limit` > 0: the attempt ends by Outcome::timeout then.
+  // `call` is valid until the attempt has ended. `limit` > 0: the attempt ends by Outcome::timeout then.
   virtual void start(AttemptKey key, ochrehill::HostId host, const Call& call, ochrehill::Duration limit) = 0;
   virtual void cancel(AttemptKey key) = 0;
   virtual void closeIdle(ochrehill::HostId host) = 0;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -81,6 +81,20 @@
   run();
 }
 
+void Engine::answerStarted(AttemptEnd end) {
+  const auto it = calls_.find(end.key.call);
+  if (it == calls_.end() || it->second.ended || it->second.out == 0) {
+    if (end.answer.rest) end.answer.rest->leave();
+    return;
+  }
+  Open& open = it->second;
+  --open.out;
+  open.passing = true;
+  reply(end.key.call, open, {Verdict::served, std::move(end.answer), {}});
+  judge(end, open);
+  run();
+}
+
 void Engine::tellHosts(ochrehill::ListKind kind, const std::vector<ochrehill::HostEntry>& entries,
                        const std::function<void()>& before) {
   balancer_.onHosts(runtime_.now(), kind, entries);
@@ -157,10 +171,22 @@
 
 void Engine::settle(AttemptEnd end) {
   const auto it = calls_.find(end.key.call);
-  if (it == calls_.end() || it->second.out == 0) return;
+  if (it == calls_.end()) return;
   Open& open = it->second;
+  if (std::exchange(open.passing, false)) {
+    over_.push_back(end.key.call);
+    return count(open, end.outcome == Outcome::served ? Verdict::served : Verdict::failed);
+  }
+  if (open.out == 0) return;
   --open.out;
   over_.push_back(end.key.call);
+  if (end.outcome == Outcome::served && !open.ended)
+    reply(end.key.call, open, {Verdict::served, std::move(end.answer), {}});
+  judge(end, open);
+}
+
+// Tells the module of an attempt's end.
+void Engine::judge(const AttemptEnd& end, const Open& open) {
   ochrehill::AttemptResult result;
   result.request = end.key.call;
   result.attempt = end.key.attempt;
@@ -170,8 +196,6 @@
   result.fault = end.fault;
   result.carrier = end.carrier;
   result.kept = end.kept;
-  if (end.outcome == Outcome::served && !open.ended)
-    reply(end.key.call, open, {Verdict::served, std::move(end.answer), {}});
   result.terminal = open.ended;
   const Time now = runtime_.now();
   // Before the module hears of the end, and may decide on another try: a host that refused is out by then.
@@ -229,7 +253,7 @@
 void Engine::dropOver() {
   for (const CallId id : over_) {
     const auto it = calls_.find(id);
-    if (it == calls_.end() || !it->second.ended || it->second.out > 0) continue;
+    if (it == calls_.end() || !it->second.ended || it->second.out > 0 || it->second.passing) continue;
     names_.erase(it->second.call.name);
     calls_.erase(it);
   }
@@ -282,15 +306,19 @@
 
 void Engine::reply(CallId id, Open& open, Reply reply) {
   open.ended = true;
+  if (!open.passing) count(open, reply.verdict);
+  over_.push_back(id);
+  open.sink->onReply(open.ticket, std::move(reply));
+}
+
+void Engine::count(const Open& open, Verdict verdict) {
   --unanswered_;
   if (open.call.facts.classIndex < tallyOf_.size()) {
     Tally& tally = tallies_[tallyOf_[open.call.facts.classIndex]];
-    ++(reply.verdict == Verdict::served    ? tally.served
-       : reply.verdict == Verdict::refused ? tally.refused
-                                           : tally.failed);
+    ++(verdict == Verdict::served    ? tally.served
+       : verdict == Verdict::refused ? tally.refused
+                                     : tally.failed);
   }
-  over_.push_back(id);
-  open.sink->onReply(open.ticket, std::move(reply));
 }
 
 }  // namespace cairnjunction
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -62,6 +62,9 @@
   Taken take(Call call, ReplySink& sink, std::uint64_t ticket, CallId* id = nullptr);
   void abandon(CallId id);            // its client left: no reply is wanted; a call that is over is ignored
   void attemptEnded(AttemptEnd end);  // from the upstream
+  // From the upstream: from here on the host's work is done, and what is left is a matter of the connections,
+  // so for the module the attempt is over. Its end is told by attemptEnded.
+  void answerStarted(AttemptEnd end);
   // From the upstream, at every change.
   void connectionsChanged(ochrehill::HostId host, HostConnections connections);
   void doubtFailed() { membership_.onDoubtFailed(runtime_.now()); }  // discovery did not answer it
@@ -95,6 +98,8 @@
     ochrehill::Time deadline{};
     std::uint32_t out = 0;  // attempts
     bool ended = false;     // replied to, or abandoned
+    bool passing =
+        false;  // its answer is being passed on: its name stays taken, and it is counted at the end
   };
 
   void run();
@@ -104,7 +109,9 @@
   void send(const ochrehill::Action& action);
   void giveUp(const ochrehill::Action& action);
   void settle(AttemptEnd end);
+  void judge(const AttemptEnd& end, const Open& open);
   void reply(CallId id, Open& open, Reply reply);
+  void count(const Open& open, Verdict verdict);
   void dropOver();
   void renewTallies();
 
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -2,9 +2,14 @@
 // what clients send, upstreams make what workers read of them, and the other way round.
 #pragma once
 
+#include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "core/body_stream.hpp"
+
 namespace cairnjunction {
 
 // Further data about a message: names with values, in their order, some perhaps more than once. Kept as text
@@ -33,7 +38,9 @@
   std::string target;     // of what: path and query (RFC 3986, 3.3 and 3.4), beginning with '/'; empty: none
   std::string authority;  // of whom: host and port as the client named them; empty: it did not
   Fields fields;          // passed on as they are
-  std::string body;
+  std::string body;       // whole, or what came before `rest`
+  std::shared_ptr<BodyStream> rest;     // of an answer that is passed on while it comes; null: there is none
+  std::optional<std::uint64_t> length;  // with `rest`: of body and rest together, if it was told
   Format format = Format::bytes;
   bool safe = false;      // asked for no effect: may be repeated at will
   bool declined = false;  // an answer that says no: the worker ran the call, and this is what came of it
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -88,9 +88,10 @@
     return server_.answer(request.exchange,
                           plain(up_() ? http::status::ok : http::status::service_unavailable));
   Call call;
+  call.streams = true;
   const http::status status = describe(message, call);
   if (status != http::status::ok) return server_.answer(request.exchange, plain(status));
-  call.facts.left -= (Clock::now() - request.began) + kAnswerMargin;
+  call.facts.left -= (Clock::now() - request.came) + kAnswerMargin;
   call.message = messageOf(message);
   call.message.operation = engine_.classes().byIndex()[call.facts.classIndex].name;
   // The id is known before the reply may come, which takes it out again.
@@ -154,6 +155,8 @@
     answer.fields = std::move(reply.message.fields);
     if (reply.message.format == Format::json) answer.fields.add("Content-Type", "application/json");
     answer.body = std::move(reply.message.body);
+    answer.rest = std::move(reply.message.rest);
+    answer.length = reply.message.length;
   } else if (reply.verdict == Verdict::refused) {
     answer.status = http::status::service_unavailable;
     if (reply.retryAfter > Duration{}) {
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -2,9 +2,11 @@
 #include "http/message.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
 #include <chrono>
 #include <string_view>
 #include <utility>
@@ -16,7 +18,8 @@
 namespace http = boost::beast::http;
 using boost::beast::string_view;
 
-constexpr std::size_t kHeadGuess = 256;  // of a head beside its fields: saves moving the text as it grows
+constexpr std::size_t kCopied = 16 << 10;  // a body up to here goes with its head in one piece
+constexpr std::size_t kHeadGuess = 256;    // of a head beside its fields: saves moving the text as it grows
 
 std::string_view view(string_view text) { return {text.data(), text.size()}; }
 
@@ -81,28 +84,43 @@
 
 }  // namespace
 
-std::string wireText(const HttpAnswer& answer, bool keep) {
+std::string wireText(const HttpAnswer& answer, bool keep, Framing framing) {
   std::string text;
   text.reserve(kHeadGuess + answer.fields.text().size() + answer.body.size());
   const auto status = static_cast<unsigned>(answer.status);
   text.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
   text.append(view(http::obsolete_reason(answer.status))).append("\r\n").append(answer.fields.text());
   if (!keep) text.append("Connection: close\r\n");
-  addNumber(text, "Content-Length: ", answer.body.size());
+  if (framing == Framing::chunks) {
+    text.append("Transfer-Encoding: chunked\r\n\r\n");
+    return answer.body.empty() ? text : text.append(chunkText(answer.body));
+  }
+  if (framing == Framing::length)
+    addNumber(text, "Content-Length: ", answer.length.value_or(answer.body.size()));
   return text.append("\r\n").append(answer.body);
 }
 
-std::string wireText(const Call& call, const boost::asio::ip::tcp::endpoint& host,
-                     ochrehill::Duration limit) {
+std::string chunkText(std::string_view bytes) {
+  std::array<char, 20> size{};
+  const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+  std::string text;
+  text.reserve(bytes.size() + size.size());
+  text.append(size.data(), end).append("\r\n").append(bytes).append("\r\n");
+  return text;
+}
+
+std::string wireText(const Call& call, const boost::asio::ip::tcp::endpoint& host, ochrehill::Duration limit,
+                     std::string_view& body) {
   const Message& m = call.message;
   // A call that came by another protocol has no verb: what may be repeated at will is a GET, and takes what
   // it was given along in the query, since the content of a GET means nothing (RFC 9110, 9.3.1).
   const std::string_view verb = !m.verb.empty() ? std::string_view(m.verb) : m.safe ? "GET" : "POST";
   const bool get = verb == "GET";
   const bool inQuery = get && m.format == Format::json && !m.body.empty();
-  const std::string_view body = inQuery ? std::string_view() : std::string_view(m.body);
+  body = inQuery ? std::string_view() : std::string_view(m.body);
   std::string text;
-  text.reserve(kHeadGuess + m.target.size() + m.fields.text().size() + body.size());
+  const std::size_t copied = body.size() <= kCopied ? body.size() : 0;
+  text.reserve(kHeadGuess + m.target.size() + m.fields.text().size() + copied);
   text.append(verb).append(" ").append(m.target);
   if (inQuery) text.append("?params=").append(percentEncoded(m.body));
   text.append(" HTTP/1.1\r\nHost: ");
@@ -116,7 +134,11 @@
   text.append(m.fields.text());
   if (m.format == Format::json && !body.empty()) text.append("Content-Type: application/json\r\n");
   if (!get || !body.empty()) addNumber(text, "Content-Length: ", body.size());
-  return text.append("\r\n").append(body);
+  text.append("\r\n");
+  if (body.size() > kCopied) return text;
+  text.append(body);
+  body = {};
+  return text;
 }
 
 Message messageOf(HttpRequest& request) {
@@ -134,10 +156,9 @@
   return message;
 }
 
-Message answerOf(HttpResponse answer) {
+Message answerOf(const http::response_header<>& head) {
   Message message;
-  message.body = std::move(answer.body());
-  copyFields(answer, message.fields,
+  copyFields(head, message.fields,
              [](const auto& field) { return boost::beast::iequals(field.name_string(), "X-Load"); });
   return message;
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <iterator>
@@ -22,13 +23,16 @@
 using tcp = asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
 
-constexpr std::size_t kChunk = 4096;                          // read at a time
+constexpr std::size_t kChunk = 4096;                          // read at a time,
+constexpr std::size_t kLargeChunk = 64 << 10;                 // and of a body that is on its way
+constexpr std::size_t kReadMost = 2 * kLargeChunk;            // not parsed yet
 constexpr auto kSweep = std::chrono::milliseconds(100);       // slow and idle connections are looked for
 constexpr auto kLinger = std::chrono::milliseconds(500);      // for a client to close after the last answer,
 constexpr std::size_t kDiscardMost = 256 << 10;               // and so much of what it sends is read out
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);  // when there was no room or no descriptor left
 constexpr std::size_t kAcceptAtOnce = 32;                     // then those that are connected have a turn
 constexpr auto kSettle = std::chrono::milliseconds(50);       // a usual client has sent its request by then
+constexpr auto kHalf = std::chrono::milliseconds(500);        // half a request goes on within
 constexpr std::size_t kLookAt = 8;                            // sessions of a queue that are asked for room
 
 tcp::acceptor openAcceptor(asio::io_context& io, const Listen& listen) {
@@ -54,15 +58,16 @@
     // A client in error is left: the next it sends may be anything, and the same again costs as much.
     const bool error = http::to_status_class(answer.status) == http::status_class::client_error;
     const bool keep = keepAlive_ && !server_->last_ && (answer.fromHost || !error);
-    response_ = wireText(answer, keep);
-    asio::async_write(socket_, asio::buffer(response_),
-                      [self = shared_from_this(), keep](error_code ec, std::size_t) {
-                        if (self->state_ != State::writing) return;
-                        if (ec) return self->close();
-                        self->response_ = {};
-                        if (keep) self->next();
-                        else self->linger();
-                      });
+    rest_ = std::move(answer.rest);
+    // An old client knows no chunks: for it the end of the connection is the end of the answer.
+    framing_ = !rest_ || answer.length ? Framing::length : old_ ? Framing::close : Framing::chunks;
+    keepAfter_ = keep && framing_ != Framing::close;
+    response_ = wireText(answer, keepAfter_, framing_);
+    if (rest_)
+      rest_->onChange = [self = weak_from_this()] {
+        if (const auto here = self.lock()) here->pump();
+      };
+    write();
   }
 
   void close() {
@@ -72,7 +77,10 @@
     server_->queue(state_).erase(place_);
     state_ = State::closed;
     error_code ignored;
+    // Danger: where the end of the connection is the end of the answer, one that was cut must end otherwise.
+    if (rest_ && framing_ == Framing::close) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
+    if (const auto left = std::exchange(rest_, nullptr)) left->leave();
     server_->ended();
   }
 
@@ -93,7 +101,7 @@
   void readable() {
     if (state_ == State::writing || state_ == State::closed) return;
     error_code ec;
-    const std::size_t n = socket_.read_some(buffer_.prepare(kChunk), ec);
+    const std::size_t n = socket_.read_some(buffer_.prepare(bodyBegun_ ? kLargeChunk : kChunk), ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again) return arm();
     if (ec) return state_ == State::waiting ? gone() : close();
     buffer_.commit(n);
@@ -110,6 +118,43 @@
   }
 
  private:
+  void write() {
+    writing_ = true;
+    asio::async_write(socket_, asio::buffer(response_),
+                      [self = shared_from_this()](error_code ec, std::size_t) {
+                        self->writing_ = false;
+                        if (self->state_ != State::writing) return;
+                        if (ec) return self->close();
+                        self->response_ = {};
+                        self->pump();
+                      });
+  }
+
+  // Writes on what has come of the answer's rest, or ends it.
+  void pump() {
+    if (writing_ || state_ != State::writing) return;
+    if (rest_) {
+      const std::string bytes = rest_->take();
+      if (!bytes.empty()) {
+        response_ = framing_ == Framing::chunks ? chunkText(bytes) : bytes;
+        become(State::writing);  // it goes on: the client's time to take it begins anew
+        return write();
+      }
+      if (rest_->state() == BodyStream::State::flowing) {
+        become(State::writing);
+        return;
+      }
+      if (rest_->state() == BodyStream::State::broken) return close();
+      rest_ = nullptr;
+      if (framing_ == Framing::chunks) {
+        response_ = kLastChunk;
+        return write();
+      }
+    }
+    if (keepAfter_) next();
+    else linger();
+  }
+
   void become(State state) {
     Queue& to = server_->queue(state);
     to.splice(to.end(), server_->queue(state_), place_);
@@ -122,11 +167,11 @@
 
   void renew() {
     scanner_ = HeadScanner(HeadScanner::Kind::request);
-    headSeen_ = begun_ = false;
+    headSeen_ = begun_ = bodyBegun_ = false;
+    head_ = {};
     parser_.emplace();
-    parser_->eager(true);
     parser_->header_limit(kHeaderLimit);
-    parser_->body_limit(kBodyLimit);
+    parser_->body_limit(server_->limits_.bodyMost);
   }
 
   void next() {
@@ -152,7 +197,7 @@
     if (!begun_) {
       begun_ = true;
       begunAt_ = Clock::now();
-      if (state_ == State::idle) become(State::begun);
+      become(State::begun);
     }
     if (!headSeen_) {
       const auto data = buffer_.data();
@@ -164,29 +209,38 @@
       headSeen_ = true;
     }
     error_code ec;
-    while (buffer_.size() > 0 && !parser_->is_done() && !ec)
+    const std::size_t heldBefore = parser_->get().body().size();
+    while (buffer_.size() > 0 && !parser_->is_done() && !ec) {
       buffer_.consume(parser_->put(buffer_.data(), ec));
+      if (parser_->is_header_done() && !bodyBegun_) {
+        bodyBegun_ = true;
+        // Danger: the parser takes what stands behind the last chunk for fields of the head.
+        if (parser_->chunked()) head_ = parser_->get().base();
+        if (!parser_->is_done() && buffer_.size() == 0) goOn();
+      }
+    }
     if (ec && ec != http::error::need_more) {
       const bool large = ec == http::error::header_limit || ec == http::error::body_limit;
       return reject(large ? http::status::payload_too_large : http::status::bad_request);
     }
-    if (charged_ == 0 && parser_->is_header_done()) {
-      charged_ = parser_->content_length() ? *parser_->content_length() : parser_->chunked() ? kBodyLimit : 0;
-      server_->bodies_ += charged_;
-      if (server_->bodies_ > server_->limits_.bodyBytes) return reject(http::status::service_unavailable);
-    }
+    const std::size_t held = parser_->get().body().size();
+    charged_ += held - heldBefore;
+    server_->bodies_ += held - heldBefore;
+    if (server_->bodies_ > server_->limits_.bodyBytes) return reject(http::status::service_unavailable);
     // Danger: the parser bounds head and body, not the head of a chunk; the buffer throws when it is full,
     // and that would end the process.
-    if (!parser_->is_done() && buffer_.size() + kChunk > buffer_.max_size())
+    if (!parser_->is_done() && buffer_.size() + kLargeChunk > buffer_.max_size())
       return reject(http::status::payload_too_large);
-    if (!parser_->is_done()) return arm();
-    // Danger: the parser takes what stands behind the last chunk for fields of the head.
-    const auto& head = parser_->get().base();
-    if (parser_->chunked() && std::distance(head.begin(), head.end()) != static_cast<long>(scanner_.fields()))
-      return reject(http::status::bad_request);
+    if (!parser_->is_done()) {
+      if (bodyBegun_) become(State::begun);  // it goes on: the time for standing still begins anew
+      return tooSlow(held) ? reject(http::status::request_timeout) : arm();
+    }
     keepAlive_ = parser_->get().keep_alive();
-    const bool first = state_ == State::fresh;
-    ClientRequest request{exchange_ = ++server_->lastExchange_, parser_->release(), begunAt_};
+    old_ = parser_->get().version() < 11;
+    const bool first = std::exchange(first_, false);
+    HttpRequest message = parser_->release();
+    if (message.chunked()) message.base() = std::move(head_);
+    ClientRequest request{exchange_ = ++server_->lastExchange_, std::move(message), Clock::now()};
     become(State::waiting);
     server_->waiting_.emplace(exchange_, shared_from_this());
     if (buffer_.size() == 0) arm();
@@ -194,6 +248,23 @@
     server_->callbacks_.request(std::move(request));
   }
 
+  // Danger: a body of a byte a second would be held for hours.
+  bool tooSlow(std::size_t held) const {
+    const auto passed = Clock::now() - begunAt_;
+    if (passed < server_->limits_.slow) return false;
+    const double seconds = std::chrono::duration<double>(passed - server_->limits_.slow).count();
+    return static_cast<double>(held) < seconds * static_cast<double>(server_->limits_.leastPace);
+  }
+
+  // A client may wait for this word before it sends the body (RFC 9110, 10.1.1).
+  void goOn() {
+    if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) return;
+    if (parser_->get().version() < 11) return;
+    constexpr std::string_view word = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code ignored;  // of a client that takes not even these few bytes the next read tells
+    socket_.write_some(asio::buffer(word), ignored);
+  }
+
   void reject(http::status status) {
     keepAlive_ = false;
     HttpAnswer refusal;
@@ -221,7 +292,7 @@
 
   HttpServer* server_;
   tcp::socket socket_;
-  boost::beast::flat_buffer buffer_{kHeaderLimit + kBodyLimit};
+  boost::beast::flat_buffer buffer_{kHeaderLimit + kReadMost};
   HeadScanner scanner_{HeadScanner::Kind::request};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::string response_;
@@ -230,7 +301,11 @@
   ExchangeId exchange_ = 0;
   Clock::time_point since_ = Clock::now(), begunAt_;  // of the state; of a request's first byte
   std::size_t discarded_ = 0, charged_ = 0;
-  bool begun_ = false, headSeen_ = false, armed_ = false, keepAlive_ = false;
+  bool begun_ = false, headSeen_ = false, bodyBegun_ = false, armed_ = false, keepAlive_ = false;
+  bool first_ = true, old_ = false, writing_ = false, keepAfter_ = false;
+  boost::beast::http::request_header<> head_;  // of a body in chunks, without what stood behind them
+  std::shared_ptr<BodyStream> rest_;           // of the answer
+  Framing framing_ = Framing::length;
 };
 
 HttpServer::HttpServer(asio::io_context& io, const Listen& listen, Limits limits, Callbacks callbacks)
@@ -311,7 +386,8 @@
   if (closeOneOf(State::lingering, now - kSettle) || closeOneOf(State::fresh, now - kSettle)) return true;
   if (queue(State::fresh).size() > limits_.connections / 2)
     return closeOneOf(State::fresh, now - kSettle, true);
-  return closeOneOf(State::idle, now) || closeOneOf(State::fresh, now - kSettle, true);
+  return closeOneOf(State::idle, now) || closeOneOf(State::fresh, now - kSettle, true) ||
+         closeOneOf(State::begun, now - kHalf, true);
 }
 
 // Danger: whoever is before the clients lets only so many connections through, and what finds no room there
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -22,7 +22,7 @@
 struct ClientRequest {
   ExchangeId exchange = 0;
   HttpRequest message;
-  std::chrono::steady_clock::time_point began;  // its first byte
+  std::chrono::steady_clock::time_point came;  // its last byte, from which its client's time counts
 };
 
 // Where to listen: an address, or a listening socket that was inherited and that others hold too, so what
@@ -36,12 +36,14 @@
  public:
   struct Limits {
     std::size_t connections = 640;
-    std::size_t kept = 640;            // that have asked something; past it the longest idle is closed
-    std::size_t bodyBytes = 16 << 20;  // announced by the requests under way, all together
-    // A request must be whole so long after its first byte, the first one so long after connecting: a client
-    // that says nothing or half a thing is owed an end within three seconds.
+    std::size_t kept = 640;              // that have asked something; past it the longest idle is closed
+    std::size_t bodyBytes = 16 << 20;    // held of the requests under way, all together
+    std::uint64_t bodyMost = kBodyMost;  // bytes, of one
+    // A head must be whole so long after its first byte, the first byte be there so long after connecting,
+    // and a body never stand still for so long: a client that says nothing or half a thing is owed an end.
     std::chrono::milliseconds slow{2500};
     std::chrono::milliseconds idle{15000};  // between requests
+    std::size_t leastPace = 16 << 10;       // bytes a second, of a body that is slow to come
   };
   struct Callbacks {
     std::function<void(ClientRequest)> request;  // to be answered by answer(), now or later
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -1,9 +1,11 @@
 #include "http/upstream.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
@@ -28,8 +30,14 @@
 using tcp = asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
 
-constexpr std::size_t kChunk = 4096;  // read at a time; most answers are smaller
-constexpr int kInterimMost = 8;       // answers ahead of the final one (1xx): more than anyone has use for
+constexpr std::size_t kChunk = 4096;           // read at a time; most answers are smaller
+constexpr std::size_t kLargeChunk = 16 << 10;  // and of an answer that is passed on
+// Held of an answer that is passed on: a few reads, since there may be as many as connections of clients.
+constexpr std::size_t kPassing = 32 << 10;
+// Danger: a host that falls silent within an answer, or a client that takes nothing, would hold the
+// connection.
+constexpr Duration kStalled = std::chrono::seconds(10);
+constexpr int kInterimMost = 8;  // answers ahead of the final one (1xx): more than anyone has use for
 constexpr Duration kSweep = std::chrono::milliseconds(250);
 // Danger: a request written to a connection that the host is just closing ends as a reset, which may have
 // run. Given up earlier than the host would by this, or by a fifth of a short limit.
@@ -44,9 +52,15 @@
   HostId host;
   tcp::socket socket;
   asio::steady_timer timer;
-  boost::beast::flat_buffer buffer{kHeaderLimit + kBodyLimit};
-  std::optional<http::response_parser<http::string_body>> parser;
-  std::string request;  // as it is written
+  boost::beast::flat_buffer buffer{kHeaderLimit + kHeldAnswer};
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  std::optional<Message> answer;  // once its head is here: the fields behind its last chunk are none of its
+  std::shared_ptr<BodyStream> stream;  // it is being passed on
+  bool streams = false, paused = false;
+  std::string request;    // as it is written, and behind it
+  std::string_view body;  // of the call, which lives as long as the attempt
+  tcp::endpoint endpoint;
+  bool detached = false;  // passes on an answer: no connection of its host's, as far as they are counted
   AttemptKey key;
   Phase phase = Phase::connecting;
   Clock::time_point sentAt, idleSince, deadline;
@@ -54,6 +68,7 @@
   HeadScanner scanner{HeadScanner::Kind::answer};
   bool watching = false, headSeen = false, up = false, used = false;
   int interim = 0;
+  std::uint64_t bodyBytes = 0;
 
   Connection(HttpUpstream& p, HostId h) : pool(&p), host(h), socket(p.io_), timer(p.io_) {
     ++p.open_;
@@ -67,8 +82,9 @@
     timer.cancel();
     error_code ignored;
     socket.close(ignored);
+    if (const auto broken = std::exchange(stream, nullptr)) broken->fail();
     --pool->open_;
-    pool->count(host, -1, up ? -1 : 0);
+    if (!detached) pool->count(host, -1, up ? -1 : 0);
   }
 
   void limit(Clock::time_point at, Outcome outcome, Fault fault = Fault::unknown) {
@@ -78,7 +94,7 @@
     });
   }
 
-  void connect(const tcp::endpoint& endpoint) {
+  void connect() {
     // Until the connection is up nothing has been written, so the end of the attempt's own time proves here
     // that it never ran, as the end of the time for connecting does.
     const auto connectBy = sentAt + pool->limits_.connectTimeout;
@@ -106,11 +122,13 @@
   void write() {
     phase = Phase::writing;
     limit(deadline, Outcome::timeout);
-    asio::async_write(socket, asio::buffer(request), [self = shared_from_this()](error_code ec, std::size_t) {
+    const std::array<asio::const_buffer, 2> text{asio::buffer(request), asio::buffer(body)};
+    asio::async_write(socket, text, [self = shared_from_this()](error_code ec, std::size_t) {
       if (self->phase != Phase::writing) return;
       // An error here means that the last byte was not written: it never ran.
       if (ec) return self->end(Outcome::connectFailed, Fault::lostInWrite);
       self->pool->dispatched();
+      self->body = {};
       self->read();
     });
   }
@@ -124,9 +142,11 @@
 
   void renew() {  // for one answer, or for one ahead of it
     scanner = HeadScanner(HeadScanner::Kind::answer);
-    headSeen = false;
+    headSeen = paused = false;
+    bodyBytes = 0;
+    answer.reset();
     parser.emplace();
-    parser->body_limit(kBodyLimit);
+    parser->body_limit(kBodyMost);
     parser->header_limit(kHeaderLimit);
   }
 
@@ -134,9 +154,11 @@
   // queue. So no operation of a library may hold the parser: only the socket is read here, and the phase
   // tells whether what has come is still wanted.
   void receive() {
-    socket.async_read_some(buffer.prepare(kChunk), [self = shared_from_this()](error_code ec, std::size_t n) {
+    if (paused) return;
+    const std::size_t most = stream ? kLargeChunk : kChunk;
+    socket.async_read_some(buffer.prepare(most), [self = shared_from_this()](error_code ec, std::size_t n) {
       if (self->phase != Phase::reading) return;
-      if (ec) return self->end(Outcome::reset);
+      if (ec) return self->over(ec);
       self->buffer.commit(n);
       self->received();
     });
@@ -153,18 +175,13 @@
         if (state == HeadScanner::State::more) return receive();
         headSeen = true;
       }
-      error_code ec;
-      while (buffer.size() > 0 && !parser->is_done() && !ec) {
-        buffer.consume(parser->put(buffer.data(), ec));
-        // Danger: Beast 1.74 passes over the limit where head and body come in one piece.
-        if (parser->is_header_done() && parser->content_length() && *parser->content_length() > kBodyLimit)
-          return end(Outcome::error, Fault::spoilt);
-      }
-      if (ec && ec != http::error::need_more) return end(Outcome::error, Fault::spoilt);
-      if (!parser->is_header_done() || !parser->is_done()) {
-        if (parser->is_header_done() && !framed()) return end(judge());
+      if (!takeBody()) return end(Outcome::error, Fault::spoilt);
+      // One that says no by its head alone is not waited for to the end of the connection.
+      if (answer && !parser->is_done() && !framed() && judge() != Outcome::served) return end(judge());
+      if (!parser->is_done()) {
         // The parser bounds head and body, not the head of a chunk; the buffer would throw when it is full.
-        if (buffer.size() + kChunk > buffer.max_size()) return end(Outcome::error, Fault::spoilt);
+        if (buffer.size() + kLargeChunk > buffer.max_size()) return end(Outcome::error, Fault::spoilt);
+        if (!passOn()) return;
         return receive();
       }
       const unsigned status = parser->get().result_int();
@@ -175,22 +192,98 @@
     }
   }
 
-  // Danger: an answer framed by the end of the connection can't be told from one that was cut.
+  // Moves what has come of the body out of the buffer. False if it can't be read, or is longer than any may
+  // be.
+  bool takeBody() {
+    std::array<char, kLargeChunk> piece;
+    while (!parser->is_done()) {
+      auto& into = parser->get().body();
+      into.data = piece.data();
+      into.size = piece.size();
+      into.more = true;
+      error_code ec;
+      const std::size_t taken = buffer.size() > 0 ? parser->put(buffer.data(), ec) : 0;
+      buffer.consume(taken);
+      if (parser->is_header_done() && !answer) {
+        // Danger: Beast 1.74 passes over the limit where head and body come in one piece.
+        if (parser->content_length() && *parser->content_length() > kBodyMost) return false;
+        answer = answerOf(parser->get().base());
+      }
+      const std::size_t got = piece.size() - into.size;
+      if (stream) stream->put({piece.data(), got});
+      else if (answer) answer->body.append(piece.data(), got);
+      bodyBytes += got;
+      if (bodyBytes > kBodyMost) return false;
+      if (ec && ec != http::error::need_buffer && ec != http::error::need_more) return false;
+      if (ec == http::error::need_more || (taken == 0 && got == 0)) break;
+    }
+    return true;
+  }
+
+  // Of an answer that is not whole yet. False if there is nothing to read for now, or no more.
+  bool passOn() {
+    if (!answer && !stream) return true;
+    if (!stream) {
+      if (answer->body.size() <= kHeldAnswer) return true;
+      if (judge() != Outcome::served || !streams) return end(Outcome::error, Fault::spoilt), false;
+      stream = std::make_shared<BodyStream>(kPassing);
+      stream->onLeft = [self = weak_from_this()] {
+        if (const auto here = self.lock()) here->clientLeft();
+      };
+      stream->onRoom = [self = weak_from_this()] {
+        if (const auto here = self.lock()) here->resume();
+      };
+      AttemptEnd begun{key, host, Outcome::served, Clock::now() - sentAt, std::move(*answer)};
+      answer.emplace();
+      begun.carrier = used ? Carrier::reused : Carrier::fresh;
+      begun.answer.rest = stream;
+      if (parser->content_length()) begun.answer.length = *parser->content_length();
+      limit(Clock::now() + kStalled, Outcome::reset);
+      // Danger: the module takes the attempt for over, and may forget the host and give its id to another.
+      detached = true;
+      pool->count(host, -1, -1);
+      pool->started_(std::move(begun));
+      if (phase != Phase::reading || !stream) return false;
+    } else {
+      limit(Clock::now() + kStalled, Outcome::reset);
+    }
+    paused = stream->room() == 0;
+    return !paused;
+  }
+
+  void resume() {
+    if (!paused || phase != Phase::reading) return;
+    paused = false;
+    limit(Clock::now() + kStalled, Outcome::reset);
+    receive();
+  }
+
+  void clientLeft() {
+    if (phase == Phase::reading) end(Outcome::cancelled);
+  }
+
+  // The connection has ended. An answer with no length and no chunks ends with it (RFC 9112, 6.3), where the
+  // end was no reset.
+  void over(error_code ec) {
+    const bool untilEnd = ec == asio::error::eof && headSeen && answer && !framed();
+    end(untilEnd ? Outcome::served : Outcome::reset);
+  }
+
   bool framed() const { return parser->get().chunked() || parser->get().has_content_length(); }
 
   Outcome judge() const {
-    const auto& answer = parser->get();
-    const http::status status = answer.result();
-    if (status == http::status::ok) return framed() ? Outcome::served : Outcome::reset;
+    const auto& head = parser->get();
+    const http::status status = head.result();
+    if (status == http::status::ok) return Outcome::served;
     const bool busy = status == http::status::service_unavailable || status == http::status::gateway_timeout;
-    if (busy && answer["X-Not-Run"] == "1") return Outcome::full;
+    if (busy && head["X-Not-Run"] == "1") return Outcome::full;
     // Told by the protocol to mean the request, not the host: sent to others it would be turned away again.
     if (status == http::status::bad_request || status == http::status::not_found) return Outcome::rejected;
     return Outcome::error;  // it may have run, whatever the answer says
   }
 
   // Danger: what comes behind a whole answer would be taken for the next one.
-  bool reusable() const { return parser->get().keep_alive() && buffer.size() == 0; }
+  bool reusable() const { return framed() && parser->get().keep_alive() && buffer.size() == 0; }
 
   // Ends the attempt. The connection is kept only after a whole answer: what comes late on one that was
   // given up would be taken for the answer to the next request.
@@ -199,14 +292,23 @@
     AttemptEnd done{key, host, outcome, Clock::now() - sentAt, {}, fault};
     done.carrier = used ? Carrier::reused : up ? Carrier::fresh : Carrier::none;
     used = true;
-    if (outcome == Outcome::served) done.answer = answerOf(parser->release());
+    const auto passed = std::exchange(stream, nullptr);
+    if (outcome == Outcome::served && answer) done.answer = std::move(*answer);
+    answer.reset();
     parser.reset();
     pool->busy_.erase(key);
     const auto known = pool->hosts_.find(host);
-    done.kept = keep && known != pool->hosts_.end() && known->second.serving;
-    if (done.kept) rest(known->second);
-    else close();
+    done.kept = keep && known != pool->hosts_.end() && known->second.serving &&
+                (!detached || known->second.endpoint == endpoint);
+    if (done.kept) {
+      if (std::exchange(detached, false)) pool->count(host, 1, 1);
+      rest(known->second);
+    } else {
+      close();
+    }
+    // The client's side last: it may go on to its next request.
     pool->ended_(std::move(done));
+    if (passed) outcome == Outcome::served ? passed->finish() : passed->fail();
   }
 
   void rest(Host& of) {
@@ -240,8 +342,8 @@
   }
 };
 
-HttpUpstream::HttpUpstream(asio::io_context& io, Limits limits, Ended ended)
-    : io_(io), limits_(limits), ended_(std::move(ended)), sweeper_(io) {
+HttpUpstream::HttpUpstream(asio::io_context& io, Limits limits, Ended ended, AnswerStarted started)
+    : io_(io), limits_(limits), ended_(std::move(ended)), started_(std::move(started)), sweeper_(io) {
   sweep();
 }
 
@@ -289,11 +391,13 @@
     connection = std::make_shared<Connection>(*this, host);
   }
   connection->key = key;
-  connection->request = wireText(call, known->second.endpoint, limit);
+  connection->streams = call.streams && started_;
+  connection->request = wireText(call, known->second.endpoint, limit, connection->body);
+  connection->endpoint = known->second.endpoint;
   connection->sentAt = now;
   connection->deadline = now + std::max(limit, Duration::zero());
   busy_.emplace(key, connection);
-  if (fresh) connection->connect(known->second.endpoint);
+  if (fresh) connection->connect();
   else connection->write();
 }
 
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -28,7 +28,8 @@
   };
   using Ended = std::function<void(AttemptEnd)>;
 
-  HttpUpstream(boost::asio::io_context& io, Limits limits, Ended ended);
+  // Without `started` no answer is passed on while it comes: one above kHeldAnswer is spoilt.
+  HttpUpstream(boost::asio::io_context& io, Limits limits, Ended ended, AnswerStarted started = nullptr);
   ~HttpUpstream() override;
   HttpUpstream(const HttpUpstream&) = delete;
   HttpUpstream& operator=(const HttpUpstream&) = delete;
@@ -61,6 +62,7 @@
   boost::asio::io_context& io_;
   Limits limits_;
   Ended ended_;
+  AnswerStarted started_;
   std::unordered_map<ochrehill::HostId, Host> hosts_;
   std::unordered_map<AttemptKey, std::shared_ptr<Connection>, AttemptKeyHash> busy_;
   std::size_t open_ = 0;
--- a/tests/net_peers.hpp
+++ b/tests/net_peers.hpp
@@ -80,14 +80,21 @@
     auto held = std::make_shared<std::string>(text);
     asio::async_write(socket_, asio::buffer(*held),
                       [self = shared_from_this(), held, thenClose](error_code, std::size_t) {
+                        if (self->then_) self->then_();
                         if (thenClose) self->close();
                       });
   }
+  void then(std::function<void()> written) { then_ = std::move(written); }  // called when a reply is written
   void close() {
     open = false;
     error_code ignored;
     socket_.close(ignored);
   }
+  void replyThenReset(const std::string& text) {
+    auto held = std::make_shared<std::string>(text);
+    asio::async_write(socket_, asio::buffer(*held),
+                      [self = shared_from_this(), held](error_code, std::size_t) { self->reset(); });
+  }
   void reset() {
     error_code ignored;
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -107,6 +114,7 @@
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
   Script script_;
+  std::function<void()> then_;
 };
 
 class Peer {  // a server with a script
