The cut begins before clients' connections run out; clients are served on in a stop

Seen by connections counted by state in the log: with one of two gateways down the other has 47 of 64 connections waiting and 30 to 45 halves of requests; 811 requests find none left. Ruled out: hosts (0 errors in 5 s), own listener (open), limit of memory.

Settings::inflightMost bounds the in-flight maximum (0 as before, so the simulator's adapter is unchanged); halves of requests make room only once a slow client would have sent its head; a stop serves those who are there on.

--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -64,6 +64,7 @@
   bool cancel = false;            // attempts may be cancelled
   std::uint32_t maxAttempts = 1;  // for one request
   std::uint32_t streamsPerConnection = 1;  // attempts that one connection carries at a time
+  std::uint32_t inflightMost = 0;          // attempts that the gateway can have out at all; 0 = no such bound
   Duration idleClose{};                    // a connection without use is closed after this; 0 = never
   Duration maxRetryAfter{};                // the longest that clients heed
   Duration askWithin{};                    // askDiscovery: longest silence towards discovery; 0 = no limit
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -13,6 +13,7 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using ochrehill::Duration;
 using ochrehill::HostId;
 using ochrehill::ListKind;
 using ochrehill::Phase;
@@ -46,9 +47,18 @@
   return shareOf(config.sockets, 3, 5) / (both ? 2 : 1);
 }
 
+// Clients that have asked something hold so many at most, as far as that is up to us.
+std::size_t keptConnections(const Config& config) {
+  return config.sockets / kClientPart * kKeptNum / kKeptDen;
+}
+
 // HTTP connections carry one request at a time, whatever the settings say.
 ochrehill::Settings moduleSettings(const Config& config, const jsonrpc::Settings& jsonRpc) {
   ochrehill::Settings settings = config.module;
+  // Danger: an HTTP client holds a connection for each request, and those that find none left fail whatever
+  // they are worth. So the cut begins before: those of least worth are told at once, and their connections
+  // are free again.
+  if (!jsonRpc.listen) settings.inflightMost = static_cast<std::uint32_t>(keptConnections(config));
   if (jsonRpc.workers.jsonRpc) settings.streamsPerConnection = jsonRpc.workers.streams;
   return settings;
 }
@@ -57,12 +67,16 @@
                                 const jsonrpc::Settings& jsonRpc) {
   const bool both = jsonRpc.listen.has_value();
   waits.connections = std::min(waits.connections, clientConnections(config, both));
-  waits.kept = std::min(waits.kept, config.sockets / kClientPart * kKeptNum / kKeptDen);
+  waits.kept = std::min(waits.kept, keptConnections(config));
   if (jsonRpc.workers.jsonRpc) waits.bodyMost = std::min(waits.bodyMost, kJsonBodyMost);
   waits.bodyBytes = std::min(waits.bodyBytes, (config.memoryMb << 20) / kBodyPart);
   return waits;
 }
 
+// Of a stop: for the last answers on their way, and never longer than this in all.
+constexpr Duration kDrainMargin = std::chrono::milliseconds(300);
+constexpr Duration kServeMost = std::chrono::milliseconds(2000);
+
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits,
@@ -73,6 +87,7 @@
       settings_(moduleSettings(config, jsonRpc)),
       jsonRpcSettings_(jsonRpc),
       waits_(waits),
+      shared_(config.acceptFd >= 0),
       log_(std::move(log)),
       upstream_(makeUpstream(config)),
       engine_(settings_, *this, *upstream_),
@@ -227,21 +242,46 @@
   http_.server().setLimits(clientLimits(config, waits_.clients, jsonRpcSettings_));
 }
 
+// After a stop was asked for, clients that are there are served as ever for so long. Danger: gateways are
+// restarted one after the other, and the next may be asked to stop before the last is back. Clients that are
+// sent away then find nobody. It leaves the time for the slowest answer before we are killed.
+Duration Gateway::serveOn() const {
+  Duration deadline{}, answer{};
+  for (const ochrehill::ClassSettings& c : settings_.classes) {
+    deadline = std::max(deadline, c.giveUp);
+    answer = std::max(answer, c.lateShare > 0 ? c.giveUp : c.aim);
+  }
+  const Duration killed = std::min<Duration>(deadline, kLongestCounted) + kKillSlack;
+  return std::clamp<Duration>(killed - answer - kDrainMargin, kAcceptOn, kServeMost);
+}
+
 void Gateway::drain(std::function<void()> done) {
   if (draining_) return;
   draining_ = true;
   drained_ = std::move(done);
-  http_.server().lastAnswers();
+  // Where the listening socket is shared, the next process serves already, and clients are sent to it.
+  // Where deadlines leave no time to serve on, they are sent away at once too.
+  if (shared_ || serveOn() <= kAcceptOn) http_.server().lastAnswers();
   drainTimer_.expires_after(kAcceptOn);
   drainTimer_.async_wait([this](error_code ec) {
     if (ec) return;
-    jsonRpcEmpty_ = !jsonRpc_;
-    http_.server().onEmpty = [this] { emptied(httpEmpty_); };
-    http_.server().stopAccepting();
-    if (jsonRpc_) jsonRpc_->stopAccepting([this] { emptied(jsonRpcEmpty_); });
+    if (shared_) return finishDrain();
+    http_.server().stopListening();
+    drainTimer_.expires_after(serveOn() - kAcceptOn);
+    drainTimer_.async_wait([this](error_code stopped) {
+      if (!stopped) finishDrain();
+    });
   });
 }
 
+void Gateway::finishDrain() {
+  http_.server().lastAnswers();
+  jsonRpcEmpty_ = !jsonRpc_;
+  http_.server().onEmpty = [this] { emptied(httpEmpty_); };
+  http_.server().stopAccepting();
+  if (jsonRpc_) jsonRpc_->stopAccepting([this] { emptied(jsonRpcEmpty_); });
+}
+
 void Gateway::emptied(bool& front) {
   front = true;
   if (httpEmpty_ && jsonRpcEmpty_ && drained_) std::exchange(drained_, nullptr)();
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -24,6 +24,9 @@
 
 // After a stop was asked for, connections are still accepted for so long: clients hear of it late.
 inline constexpr std::chrono::milliseconds kAcceptOn{700};
+// The platform kills what has not ended so long after the longest deadline, of which it counts up to the second.
+inline constexpr std::chrono::milliseconds kKillSlack{700};
+inline constexpr std::chrono::milliseconds kLongestCounted{3000};
 
 class Gateway final : private Runtime {
  public:
@@ -69,6 +72,8 @@
   void told(const HostList& list, ochrehill::ListKind kind);
   std::unique_ptr<HostUpstream> makeUpstream(const Config& config);
   void emptied(bool& front);
+  ochrehill::Duration serveOn() const;
+  void finishDrain();
   std::string answerOperator(std::string_view line) const;
 
   boost::asio::io_context& io_;
@@ -77,6 +82,7 @@
   ochrehill::Settings settings_;
   jsonrpc::Settings jsonRpcSettings_;
   Waits waits_;
+  const bool shared_;  // the clients' listening socket is held by others too
   std::function<void(std::string)> log_;
   std::function<void(const Config&)> limitUpstream_;  // set with the upstream, so before it
   std::unique_ptr<HostUpstream> upstream_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -32,7 +32,7 @@
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);  // when there was no room or no descriptor left
 constexpr std::size_t kAcceptAtOnce = 32;                     // then those that are connected have a turn
 constexpr auto kSettle = std::chrono::milliseconds(50);       // a usual client has sent its request by then
-constexpr auto kHalf = std::chrono::milliseconds(500);        // half a request goes on within
+constexpr auto kHalf = std::chrono::milliseconds(2100);       // a slow client has sent its head by then
 constexpr std::size_t kLookAt = 8;                            // sessions of a queue that are asked for room
 
 tcp::acceptor openAcceptor(asio::io_context& io, const Listen& listen) {
@@ -428,14 +428,15 @@
 }
 
 void HttpServer::stopListening() {
+  if (!acceptor_.is_open()) return;
+  // Danger: what waits to be accepted may hold requests already; a closed listener would reset them.
+  if (!shared_) takeWaiting(limits_.connections);
   error_code ignored;
   acceptor_.close(ignored);
   again_.cancel();
 }
 
 void HttpServer::stopAccepting() {
-  // Danger: what waits to be accepted may hold requests already; a closed listener would reset them.
-  if (!shared_) takeWaiting(limits_.connections);
   stopListening();
   for (const State state : {State::fresh, State::idle}) {
     const std::vector<std::shared_ptr<Session>> all(queue(state).begin(), queue(state).end());
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -60,7 +60,8 @@
   void setLimits(const Limits& limits) { limits_ = limits; }
   void answer(ExchangeId exchange, HttpAnswer answer);
   void lastAnswers();    // from now on every answer closes its connection
-  void stopAccepting();  // takes what waits to be accepted, then closes the listener and idle connections
+  void stopListening();  // takes what waits to be accepted, then closes the listener; clients that are there stay
+  void stopAccepting();  // that, and closes idle connections
   std::size_t connections() const { return open_; }
 
   std::function<void()> onEmpty;  // after stopAccepting: the last connection is closed
@@ -73,7 +74,6 @@
 
   void accept();
   bool takeWaiting(std::size_t most);
-  void stopListening();
   void admit(boost::asio::ip::tcp::socket socket);
   bool makeRoom();
   void keepRoom();
--- a/src/policy/cutoff.cpp
+++ b/src/policy/cutoff.cpp
@@ -41,7 +41,8 @@
   // Before anything was measured (own start in an overload) and after a lull, per-host guesses stand in.
   const double first = kFirstPerHost / set.groupSize, floor = kFloorPerHost / set.groupSize;
   const double least = now - started < 10 * kSweep ? first : std::max(floor, calmHeld);
-  return ease * std::max(fastRate * meanAim * kMaxOfAim, least * count);
+  const double most = set.inflightMost > 0 ? set.inflightMost : HUGE_VAL;  // as clients' connections run out
+  return std::min(ease * std::max(fastRate * meanAim * kMaxOfAim, least * count), most);
 }
 
 double Module::heldNow() const {
--- a/tests/app/gateway_test.cpp
+++ b/tests/app/gateway_test.cpp
@@ -862,5 +862,25 @@
   EXPECT_EQ(gateway->figures().reloadSuccess, 1u);
 }
 
+TEST_F(GatewayTest, ClientsThatAreThereAreServedOnInAStop) {
+  // The next gateway may be asked to stop before the last one is back, and they would find nobody.
+  for (auto& grade : config["settings"]["grades"]) {
+    grade["aimNs"] = 400'000'000;
+    grade["giveUpNs"] = 3'000'000'000;
+  }
+  twoHosts(always(answerText(200, "", "ok")));
+  auto c = client();
+  c->send(text("read"));
+  ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+  bool done = false;
+  gateway->drain([&] { done = true; });
+  c->send(text("read"));
+  ASSERT_TRUE(until([&] { return c->answers.size() == 2; }));
+  EXPECT_EQ(c->answers[1].result_int(), 200u);
+  EXPECT_TRUE(c->answers[1].keep_alive());
+  ASSERT_TRUE(until([&] { return done; }));
+  EXPECT_TRUE(until([&] { return c->closedByPeer; })) << "in the end they are sent away";
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
--- a/tests/policy/configure_test.cpp
+++ b/tests/policy/configure_test.cpp
@@ -72,5 +72,20 @@
   EXPECT_NE(d.lastSent().attempt, 1u) << "the new class at its index is safe, and it is not";
 }
 
+TEST(InflightMost, TheCutBeginsBeforeTheGatewayCanHoldNoMore) {
+  // Hosts answer nothing yet, and each of these is held: with no bound of its own there is room for all.
+  double cuts[2];
+  for (const std::uint32_t most : {0u, 20u}) {
+    Settings settings = makeSettings();
+    settings.inflightMost = most;
+    Driver d(settings, 10);
+    for (int i = 0; i < 18; ++i) d.request(0);
+    d.advance(milliseconds(150));
+    cuts[most > 0] = d.balancer.cutoff();
+  }
+  EXPECT_EQ(cuts[0], 0);
+  EXPECT_GT(cuts[1], 0);
+}
+
 }  // namespace
 }  // namespace ochrehill::testing
