--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -58,7 +58,7 @@
   // Danger: an HTTP client holds a connection for each request, and those that find none left fail whatever
   // they are worth. So the cut begins before: those of least worth are told at once, and their connections
   // are free again.
-  if (!jsonRpc.listen) settings.inflightMost = static_cast<std::uint32_t>(keptConnections(config));
+  if (!jsonRpc.listen) settings.inflightMost = static_cast<std::uint32_t>(config.sockets / kClientPart);
   if (jsonRpc.workers.jsonRpc) settings.streamsPerConnection = jsonRpc.workers.streams;
   return settings;
 }
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -24,7 +24,8 @@
 
 // After a stop was asked for, connections are still accepted for so long: clients hear of it late.
 inline constexpr std::chrono::milliseconds kAcceptOn{700};
-// The platform kills what has not ended so long after the longest deadline, of which it counts up to the second.
+// The platform kills what has not ended so long after the longest deadline, which counts up to the second of
+// these.
 inline constexpr std::chrono::milliseconds kKillSlack{700};
 inline constexpr std::chrono::milliseconds kLongestCounted{3000};
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -60,7 +60,7 @@
   void setLimits(const Limits& limits) { limits_ = limits; }
   void answer(ExchangeId exchange, HttpAnswer answer);
   void lastAnswers();    // from now on every answer closes its connection
-  void stopListening();  // takes what waits to be accepted, then closes the listener; clients that are there stay
+  void stopListening();  // takes what waits, then closes the listener; clients that are there stay
   void stopAccepting();  // that, and closes idle connections
   std::size_t connections() const { return open_; }
 
