--- a/tests/http/large_test.cpp
+++ b/tests/http/large_test.cpp
@@ -38,6 +38,10 @@
     }
   }
   void close() { socket_.close(); }
+  std::size_t bodySize() const {  // without a copy: asked at each turn of the loop
+    const std::size_t head = got.find("\r\n\r\n");
+    return head == std::string::npos ? 0 : got.size() - head - 4;
+  }
   std::string body() const { return got.substr(std::min(got.find("\r\n\r\n") + 4, got.size())); }
 
   std::string got;
@@ -91,7 +95,7 @@
   for (int i = 1; i <= 2; ++i) {
     c.got.clear();
     c.send("GET /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: r" + std::to_string(i) + "\r\n\r\n");
-    ASSERT_TRUE(takeUntil(c, [&] { return c.body().size() >= kLarge; }));
+    ASSERT_TRUE(takeUntil(c, [&] { return c.bodySize() >= kLarge; }));
     EXPECT_NE(c.got.find("Content-Length: " + std::to_string(kLarge)), std::string::npos);
     EXPECT_NE(c.got.find("Content-Type: a/b"), std::string::npos);
     EXPECT_TRUE(c.body() == large);
@@ -149,7 +153,7 @@
   for (int i = 0; i < 200; ++i) io.run_one_for(std::chrono::milliseconds(5));
   EXPECT_FALSE(sent) << "16 MiB lie neither in the gateway nor in buffers";
   EXPECT_EQ(gateway->connections(), before);
-  ASSERT_TRUE(takeUntil(c, [&] { return c.body().size() >= large.size(); }));
+  ASSERT_TRUE(takeUntil(c, [&] { return c.bodySize() >= large.size(); }));
   EXPECT_TRUE(c.body() == large);
 }
 
@@ -173,7 +177,7 @@
     c.send("GET /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: r" + std::to_string(form) + "\r\n\r\n");
     ASSERT_TRUE(takeUntil(c, [&] { return c.over; }));
     EXPECT_EQ(requests(), before + 1) << "its client has had a part of it";
-    if (c.got.find("Content-Length") != std::string::npos) EXPECT_LT(c.body().size(), 400000u);
+    if (c.got.find("Content-Length") != std::string::npos) EXPECT_LT(c.bodySize(), 400000u);
     else EXPECT_EQ(c.got.find("\r\n0\r\n\r\n"), std::string::npos) << "no last chunk";
   }
   EXPECT_EQ(served(), 0u);
@@ -231,7 +235,7 @@
   second->send("GET /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: r2\r\n\r\n");
   ASSERT_TRUE(until([&] { return !second->answers.empty(); }));
   EXPECT_EQ(second->answers[0].body(), "other");
-  ASSERT_TRUE(takeUntil(c, [&] { return c.body().size() >= large.size(); }));
+  ASSERT_TRUE(takeUntil(c, [&] { return c.bodySize() >= large.size(); }));
   EXPECT_TRUE(c.body() == large);
   ASSERT_TRUE(until([&] { return gateway->openRequests() == 0; }));
   const auto id = gateway->engine().findHost("s-9");
