--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -16,7 +16,6 @@
 namespace cairnjunction {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
-using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
 inline constexpr std::uint64_t kBodyMost = 32 << 20;     // bytes, of a request or an answer
 inline constexpr std::uint64_t kHeldAnswer = 64 << 10;   // bytes: a larger answer is passed on while it comes
