--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -166,9 +166,9 @@
 void Gateway::wakeAt(Time at) {
   wakeAt_ = at;
   waker_.expires_at(start_ + (at - kClockStart));
-  waker_.async_wait([this](error_code ec) {
+  waker_.async_wait(lifetime_.guard([this](error_code ec) {
     if (!ec && now() >= wakeAt_) engine_.wake();
-  });
+  }));
 }
 
 // --- Hosts ----------------------------------------------------------------------------------------------
@@ -263,15 +263,15 @@
   // Where deadlines leave no time to serve on, they are sent away at once too.
   if (shared_ || serveOn() <= kAcceptOn) http_.server().lastAnswers();
   drainTimer_.expires_after(kAcceptOn);
-  drainTimer_.async_wait([this](error_code ec) {
+  drainTimer_.async_wait(lifetime_.guard([this](error_code ec) {
     if (ec) return;
     if (shared_) return finishDrain();
     http_.server().stopListening();
     drainTimer_.expires_after(serveOn() - kAcceptOn);
-    drainTimer_.async_wait([this](error_code stopped) {
+    drainTimer_.async_wait(lifetime_.guard([this](error_code stopped) {
       if (!stopped) finishDrain();
-    });
-  });
+    }));
+  }));
 }
 
 void Gateway::finishDrain() {
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -15,6 +15,7 @@
 #include "http/front.hpp"
 #include "jsonrpc/front.hpp"
 #include "jsonrpc/settings.hpp"
+#include "lifetime.hpp"
 #include "ochrehill/ochrehill.hpp"
 #include "ops/door.hpp"
 #include "ops/figures.hpp"
@@ -98,6 +99,7 @@
   std::unique_ptr<jsonrpc::Front> jsonRpc_;
   std::uint64_t reloads_ = 0, reloadFailures_ = 0;
   std::unique_ptr<ops::Door> door_;
+  Lifetime lifetime_;  // of what the event loop is still to call
 };
 
 }  // namespace cairnjunction
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -338,15 +338,15 @@
 }
 
 void HttpServer::accept() {
-  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code ec) {
+  acceptor_.async_wait(tcp::acceptor::wait_read, lifetime_.guard([this](error_code ec) {
     if (ec || !acceptor_.is_open()) return;
     if (takeWaiting(kAcceptAtOnce)) return accept();
     // Danger: with no descriptor left the listener stays readable, and the loop would spin.
     again_.expires_after(kAcceptAgain);
-    again_.async_wait([this](error_code waitError) {
+    again_.async_wait(lifetime_.guard([this](error_code waitError) {
       if (!waitError && acceptor_.is_open()) accept();
-    });
-  });
+    }));
+  }));
 }
 
 // Takes what waits; false if there was no room for more. Danger: at the limit, room may be made only for
@@ -417,9 +417,12 @@
 void HttpServer::ended() {
   --open_;
   if (open_ == 0 && !acceptor_.is_open() && onEmpty)
-    asio::post(io_, [this] {
-      if (onEmpty) onEmpty();
-    });
+    asio::post(io_, lifetime_.guard([this] { toldEmpty(); }));
+}
+
+// Once: whoever is told may destroy us, or have us told again by what it closes.
+void HttpServer::toldEmpty() {
+  if (const auto told = std::exchange(onEmpty, nullptr)) told();
 }
 
 void HttpServer::lastAnswers() {
@@ -443,7 +446,7 @@
     for (const auto& session : all)
       if (session->silent()) session->close();
   }
-  if (open_ == 0 && onEmpty) onEmpty();
+  if (open_ == 0) toldEmpty();
 }
 
 void HttpServer::sweep() {
@@ -462,9 +465,9 @@
       if (session->state() == state && now - session->since() > bound) session->close();
     }
   sweeper_.expires_after(kSweep);
-  sweeper_.async_wait([this](error_code ec) {
+  sweeper_.async_wait(lifetime_.guard([this](error_code ec) {
     if (!ec) sweep();
-  });
+  }));
 }
 
 }  // namespace cairnjunction
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -14,6 +14,7 @@
 #include <unordered_map>
 
 #include "http/message.hpp"
+#include "lifetime.hpp"
 
 namespace cairnjunction {
 
@@ -64,7 +65,7 @@
   void stopAccepting();  // that, and closes idle connections
   std::size_t connections() const { return open_; }
 
-  std::function<void()> onEmpty;  // after stopAccepting: the last connection is closed
+  std::function<void()> onEmpty;  // after stopAccepting, once: the last connection is closed
 
  private:
   class Session;
@@ -79,6 +80,7 @@
   void keepRoom();
   bool closeOneOf(State state, std::chrono::steady_clock::time_point before, bool half = false);
   void ended();
+  void toldEmpty();
   Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
   void sweep();
 
@@ -93,6 +95,7 @@
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   ExchangeId lastExchange_ = 0;
   bool last_ = false;
+  Lifetime lifetime_;  // of what the event loop is still to call
 };
 
 }  // namespace cairnjunction
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -455,9 +455,9 @@
       return true;
     });
   sweeper_.expires_after(kSweep);
-  sweeper_.async_wait([this](error_code ec) {
+  sweeper_.async_wait(lifetime_.guard([this](error_code ec) {
     if (!ec) sweep();
-  });
+  }));
 }
 
 }  // namespace cairnjunction
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -14,6 +14,7 @@
 
 #include "core/call.hpp"
 #include "http/message.hpp"
+#include "lifetime.hpp"
 #include "ochrehill/ochrehill.hpp"
 #include "upstream/host_upstream.hpp"
 
@@ -67,6 +68,7 @@
   std::unordered_map<AttemptKey, std::shared_ptr<Connection>, AttemptKeyHash> busy_;
   std::size_t open_ = 0;
   boost::asio::steady_timer sweeper_;
+  Lifetime lifetime_;  // of what the event loop is still to call
 };
 
 }  // namespace cairnjunction
--- a/src/jsonrpc/front.cpp
+++ b/src/jsonrpc/front.cpp
@@ -58,11 +58,11 @@
 
 void Front::expire() {
   expirer_.expires_after(kExpire);
-  expirer_.async_wait([this](boost::system::error_code ec) {
+  expirer_.async_wait(lifetime_.guard([this](boost::system::error_code ec) {
     if (ec) return;
     table_.expire(now());
     expire();
-  });
+  }));
 }
 
 void Front::stopAccepting(std::function<void()> onEmpty) {
--- a/src/jsonrpc/front.hpp
+++ b/src/jsonrpc/front.hpp
@@ -20,6 +20,7 @@
 #include "jsonrpc/server.hpp"
 #include "jsonrpc/session_table.hpp"
 #include "jsonrpc/settings.hpp"
+#include "lifetime.hpp"
 
 namespace cairnjunction::jsonrpc {
 
@@ -108,7 +109,8 @@
   std::uint64_t lastTicket_ = 0;
   boost::asio::steady_timer expirer_;
   std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
-  Server server_;  // last: it may hand over texts from here on
+  Server server_;      // after the others: it may hand over texts from here on
+  Lifetime lifetime_;  // of what the event loop is still to call
 };
 
 }  // namespace cairnjunction::jsonrpc
--- a/src/jsonrpc/server.cpp
+++ b/src/jsonrpc/server.cpp
@@ -340,11 +340,11 @@
   if (it == connections_.end()) return;
   it->second->write(text);
   if (std::exchange(flushing_, true)) return;
-  asio::post(io_, [this] {
+  asio::post(io_, lifetime_.guard([this] {
     flushing_ = false;
     for (const auto& each : std::exchange(unflushed_, {})) each->flush();
     keepWithin();
-  });
+  }));
 }
 
 void Server::closeAfterReplies(ConnectionId id) {
@@ -369,21 +369,21 @@
 void Server::erase(ConnectionId id) {
   connections_.erase(id);
   if (connections_.empty() && stopping_)
-    asio::post(io_, [this] {
+    asio::post(io_, lifetime_.guard([this] {
       if (onEmpty && connections_.empty()) std::exchange(onEmpty, nullptr)();
-    });
+    }));
 }
 
 void Server::accept() {
-  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code ec) {
+  acceptor_.async_wait(tcp::acceptor::wait_read, lifetime_.guard([this](error_code ec) {
     if (ec || !acceptor_.is_open()) return;
     if (takeWaiting()) return accept();
     // Danger: with no descriptor left the listener stays readable, and the loop would spin.
     again_.expires_after(kAcceptAgain);
-    again_.async_wait([this](error_code waitError) {
+    again_.async_wait(lifetime_.guard([this](error_code waitError) {
       if (!waitError && acceptor_.is_open()) accept();
-    });
-  });
+    }));
+  }));
 }
 
 bool Server::takeWaiting() {
@@ -459,9 +459,9 @@
       if (connections_.count(connection->id())) connection->late(queue);
   }
   sweeper_.expires_after(kSweep);
-  sweeper_.async_wait([this](error_code ec) {
+  sweeper_.async_wait(lifetime_.guard([this](error_code ec) {
     if (!ec) sweep();
-  });
+  }));
 }
 
 }  // namespace cairnjunction::jsonrpc
--- a/src/jsonrpc/server.hpp
+++ b/src/jsonrpc/server.hpp
@@ -19,6 +19,7 @@
 
 #include "jsonrpc/frame.hpp"
 #include "jsonrpc/settings.hpp"
+#include "lifetime.hpp"
 
 namespace cairnjunction::jsonrpc {
 
@@ -86,6 +87,7 @@
   std::size_t bytes_ = 0;
   ConnectionId last_ = 0;
   bool flushing_ = false, stopping_ = false;
+  Lifetime lifetime_;  // of what the event loop is still to call
 };
 
 }  // namespace cairnjunction::jsonrpc
--- a/src/jsonrpc/upstream.cpp
+++ b/src/jsonrpc/upstream.cpp
@@ -143,9 +143,9 @@
     const std::uint64_t id = ++lastId_;
     const std::string text = textOf(id, call, limit, owner_->parser_);
     if (text.empty()) {  // it can't be said in JSON, to no host
-      asio::post(owner_->io_, [owner = owner_, key, h = host] {
+      asio::post(owner_->io_, owner_->lifetime_.guard([owner = owner_, key, h = host] {
         owner->ended_({key, h, Outcome::rejected, {}, {}, Fault::unknown, Carrier::none});
-      });
+      }));
       return;
     }
     const auto now = Clock::now();
@@ -524,10 +524,10 @@
 void Upstream::flushSoon(ConnectionPtr connection) {
   unflushed_.push_back(std::move(connection));
   if (std::exchange(flushing_, true)) return;
-  asio::post(io_, [this] {
+  asio::post(io_, lifetime_.guard([this] {
     flushing_ = false;
     for (const auto& each : std::exchange(unflushed_, {})) each->flush();
-  });
+  }));
 }
 
 void Upstream::sweep() {
@@ -536,9 +536,9 @@
     for (const auto& connection : std::vector<ConnectionPtr>(host.connections))
       if (connection->outlived(now) || (!host.serving && connection->calls() == 0)) connection->leave();
   sweeper_.expires_after(kSweep);
-  sweeper_.async_wait([this](error_code ec) {
+  sweeper_.async_wait(lifetime_.guard([this](error_code ec) {
     if (!ec) sweep();
-  });
+  }));
 }
 
 }  // namespace cairnjunction::jsonrpc
--- a/src/jsonrpc/upstream.hpp
+++ b/src/jsonrpc/upstream.hpp
@@ -19,6 +19,7 @@
 
 #include "jsonrpc/frame.hpp"
 #include "jsonrpc/parser.hpp"
+#include "lifetime.hpp"
 #include "ochrehill/ochrehill.hpp"
 #include "upstream/host_upstream.hpp"
 
@@ -86,6 +87,7 @@
   std::size_t open_ = 0;
   bool flushing_ = false, stopped_ = false;
   boost::asio::steady_timer sweeper_;
+  Lifetime lifetime_;  // of what the event loop is still to call
 };
 
 }  // namespace cairnjunction::jsonrpc
--- a/src/ops/door.cpp
+++ b/src/ops/door.cpp
@@ -94,20 +94,20 @@
 }
 
 void Door::accept() {
-  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+  acceptor_.async_accept(lifetime_.guard([this](error_code ec, tcp::socket socket) {
     if (ec == asio::error::operation_aborted) return;
     if (ec) {  // Danger: with no descriptor left the listener stays ready, and the loop would spin.
       again_.expires_after(kAcceptAgain);
-      again_.async_wait([this](error_code stopped) {
+      again_.async_wait(lifetime_.guard([this](error_code stopped) {
         if (!stopped) accept();
-      });
+      }));
       return;
     }
     if (callers_.size() >= kCallersMost) leave(callers_.front());
     callers_.push_back(std::make_shared<Caller>(*this, std::move(socket)));
     callers_.back()->start();
     accept();
-  });
+  }));
 }
 
 void Door::leave(const std::shared_ptr<Caller>& caller) {
--- a/src/ops/door.hpp
+++ b/src/ops/door.hpp
@@ -14,6 +14,8 @@
 #include <string>
 #include <string_view>
 
+#include "lifetime.hpp"
+
 namespace cairnjunction::ops {
 
 class Door {
@@ -45,6 +47,7 @@
   boost::asio::steady_timer again_;
   Answer answer_;
   std::list<std::shared_ptr<Caller>> callers_;  // the one that came first is first
+  Lifetime lifetime_;                           // of what the event loop is still to call
 };
 
 }  // namespace cairnjunction::ops
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -3,11 +3,11 @@
 set -eu
 cd "$1/src"
 bad=0
-allow() {  # package, then the folders that it may include beside itself and the module's interface
+allow() {  # package, then the folders that it may include beside itself, the module's interface and src/lifetime.hpp
   package=$1; shift
   for include in $(sed -n 's/^#include "\([^"]*\)"$/\1/p' "$package"/*.?pp | sort -u); do
     folder=${include%%/*}
-    for allowed in "$package" ochrehill "$@"; do [ "$folder" = "$allowed" ] && continue 2; done
+    for allowed in "$package" ochrehill lifetime.hpp "$@"; do [ "$folder" = "$allowed" ] && continue 2; done
     echo "src/$package includes $include, which is not below it"
     bad=1
   done
