Routes as a value and compiled, and the import of nginx files with a report on each directive

It knew one pool and went by the path as it stood in the request.

Change: src/route (no I/O): one canonical path, decoded and normalised once, and refused where two readers could differ; servers, locations, rewrites, maps and pools as a value with JSON and a schema; a compiled Router with PCRE2 under bounds. src/import/nginx: lexer, parser with positions and bounded includes, lowering, and a report in which every directive ends as carried, difference or left-out; a location whose guard or handler can't be kept answers 501. The serving path is as it was.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -11,8 +11,11 @@
 
 #include "app/demo.hpp"
 #include "app/gateway.hpp"
+#include "app/route_commands.hpp"
 #include "config/config.hpp"
+#include "config/routes_file.hpp"
 #include "jsonrpc/settings.hpp"
+#include "route/router.hpp"
 
 namespace {
 
@@ -24,7 +27,7 @@
 namespace jsonrpc = cairnjunction::jsonrpc;
 
 struct Files {
-  std::string config, jsonRpc;  // empty: GW_CONFIG; no JSON-RPC
+  std::string config, jsonRpc, routes;  // empty: GW_CONFIG; no JSON-RPC; no routes
 };
 
 void log(const std::string& line) { std::cerr << line << '\n'; }
@@ -103,6 +106,12 @@
     else std::cout << "no listener";
     std::cout << ", workers speak " << (settings.workers.jsonRpc ? "JSON-RPC" : "HTTP") << '\n';
   }
+  if (!files.routes.empty()) {
+    const cairnjunction::route::Router router(cairnjunction::readRoutes(files.routes));
+    std::cout << files.routes << ": good: " << router.routes().servers.size() << " servers, "
+              << router.routes().pools.size() << " pools\n";
+    for (const std::string& warning : router.warnings()) std::cout << "warning: " << warning << '\n';
+  }
   return 0;
 }
 
@@ -112,7 +121,9 @@
       "the lowest scores first under overload. With no command it serves."};
   app.set_version_flag("--version", std::string("cairnjunction ") + CAIRNJUNCTION_VERSION);
   app.footer(
-      "Exit codes: 0 stopped, or good; 1 failed; 2 bad configuration or command line.\n"
+      "Exit codes: 0 stopped, or good; 1 failed; 2 bad configuration or command line. Of import: 0 all "
+      "carried "
+      "over, 1 with differences or left-outs, 2 not readable.\n"
       "Signals: SIGTERM finishes what was taken and ends; SIGHUP reads the configuration again.");
   Files files;
   app.add_option("--config", files.config, "the configuration (otherwise $GW_CONFIG names it)");
@@ -121,6 +132,7 @@
   Files checked;
   checking->add_option("FILE", checked.config, "the configuration")->required();
   checking->add_option("--jsonrpc", checked.jsonRpc, "settings of JSON-RPC, checked against it");
+  checking->add_option("--routes", checked.routes, "a file of routes, checked too");
   cairnjunction::DemoOptions demo;
   CLI::App* showing = app.add_subcommand(
       "demo", "serve with stand-in workers and discovery on loopback, and say what to try");
@@ -128,6 +140,20 @@
   showing->add_option("--http-port", demo.http, "0: any free one")->capture_default_str();
   showing->add_option("--jsonrpc-port", demo.jsonRpc, "0: any free one")->capture_default_str();
   showing->add_flag("--jsonrpc-workers", demo.jsonRpcWorkers, "speak JSON-RPC to the workers");
+  CLI::App* importing = app.add_subcommand("import", "make routes of another program's configuration");
+  importing->require_subcommand(1);
+  cairnjunction::ImportOptions import;
+  CLI::App* nginx = importing->add_subcommand("nginx", "of an nginx file (docs/operators/nginx-import.md)");
+  nginx->add_option("FILE", import.file, "the file; its includes are of its folder")->required();
+  nginx->add_option("--out", import.out, "where the routes go; otherwise to the output");
+  nginx->add_option("--report", import.report, "where the report on each directive goes; -: the output");
+  nginx->add_flag("--strict", import.strict, "write nothing unless all is carried over");
+  cairnjunction::RouteOptions route;
+  CLI::App* routing = app.add_subcommand("route", "show where requests go by a file of routes");
+  routing->add_option("ROUTES", route.file, "the file of routes")->required();
+  routing->add_option("PATH", route.paths, "paths, perhaps with arguments")->required();
+  routing->add_option("--host", route.host, "as the client names it");
+  routing->add_option("--method", route.method, "")->capture_default_str();
   app.require_subcommand(0, 1);
   try {
     app.parse(argc, argv);
@@ -135,6 +161,8 @@
     return app.exit(end) == 0 ? 0 : kBadConfig;
   }
   if (*checking) return check(checked);
+  if (*nginx) return cairnjunction::importNginx(import, std::cout, std::cerr);
+  if (*routing) return cairnjunction::showRoutes(route, std::cout, std::cerr);
   if (*showing) return cairnjunction::runDemo(demo, std::cout);
   if (files.config.empty() && !std::getenv("GW_CONFIG"))
     throw BadConfig("no configuration: give --config FILE or set GW_CONFIG; 'cairnjunction demo' needs none");
@@ -153,6 +181,9 @@
   } catch (const BadConfig& bad) {
     std::cerr << "cairnjunction: " << bad.what() << '\n';
     return kBadConfig;
+  } catch (const cairnjunction::route::BadRoutes& bad) {
+    std::cerr << "cairnjunction: " << bad.what() << '\n';
+    return kBadConfig;
   } catch (const jsonrpc::BadSettings& bad) {
     std::cerr << "cairnjunction: " << bad.what() << '\n';
     return kBadConfig;
--- /dev/null
+++ b/src/route/level.cpp
@@ -0,0 +1,102 @@
+// One level of locations, compiled.
+#include "route/level.hpp"
+
+#include <algorithm>
+
+namespace cairnjunction::route {
+namespace {
+
+constexpr std::size_t kBegin = sizeof(std::uint64_t);
+
+// The first eight bytes, as a number that is ordered as they are; a shorter text is filled up with zeros,
+// which no path holds.
+std::uint64_t beginOf(std::string_view text) {
+  std::uint64_t number = 0;
+  for (std::size_t i = 0; i < kBegin; ++i)
+    number = number << 8 | (i < text.size() ? static_cast<unsigned char>(text[i]) : 0);
+  return number;
+}
+
+bool begins(std::string_view text, std::string_view with) { return text.substr(0, with.size()) == with; }
+
+}  // namespace
+
+Level::Entry& Level::entry(const std::string& name) {
+  const auto [it, fresh] = building_.emplace(name, entries_.size());
+  if (fresh) entries_.emplace_back().name = name;
+  return entries_[it->second];
+}
+
+bool Level::addExact(const std::string& name, std::uint32_t location) {
+  Entry& e = entry(name);
+  if (e.exact != kNone) return false;
+  e.exact = location;
+  return true;
+}
+
+bool Level::addPrefix(const std::string& name, std::uint32_t location) {
+  Entry& e = entry(name);
+  if (e.prefix != kNone) return false;
+  e.prefix = location;
+  return true;
+}
+
+void Level::addRedirect(const std::string& name) {
+  if (name.size() > 1) entry(name.substr(0, name.size() - 1)).redirect = true;
+}
+
+void Level::seal() {
+  building_ = {};
+  std::sort(entries_.begin(), entries_.end(), [](const Entry& a, const Entry& b) { return a.name < b.name; });
+  entries_.shrink_to_fit();
+  if (entries_.empty()) return;
+  const std::string &first = entries_.front().name, &last = entries_.back().name;
+  const auto differ = std::mismatch(first.begin(), first.end(), last.begin(), last.end()).first;
+  shared_.assign(first.begin(), differ);
+  begins_.reserve(entries_.size());
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    Entry& e = entries_[i];
+    begins_.push_back(beginOf(std::string_view(e.name).substr(shared_.size())));
+    // What begins this name begins the one before it too, or is that one.
+    for (std::size_t at = i; at > 0 && e.shorter == kNone;) {
+      const Entry& before = entries_[at - 1];
+      if (before.prefix != kNone && begins(e.name, before.name))
+        e.shorter = static_cast<std::uint32_t>(at - 1);
+      else if (before.shorter == kNone) break;
+      else at = before.shorter + 1;
+    }
+  }
+}
+
+Level::Found Level::find(std::string_view path) const {
+  Found found;
+  if (!begins(path, shared_)) return found;
+  const std::string_view rest = path.substr(shared_.size());
+  const std::uint64_t begin = beginOf(rest);
+  // The last name that is not after the path: by eight bytes, then by what follows among those that share
+  // them.
+  const auto low = std::lower_bound(begins_.begin(), begins_.end(), begin);
+  const auto high = low == begins_.end() || *low != begin ? low : std::upper_bound(low, begins_.end(), begin);
+  const auto at = [&](auto it) { return static_cast<std::size_t>(it - begins_.begin()); };
+  const auto from = entries_.begin() + static_cast<std::ptrdiff_t>(at(low));
+  const auto to = entries_.begin() + static_cast<std::ptrdiff_t>(at(high));
+  auto after =
+      std::upper_bound(from, to, path, [](std::string_view text, const Entry& e) { return text < e.name; });
+  if (after == entries_.begin()) return found;
+  const Entry* last = &*--after;
+  if (last->name == path) {
+    found.exact = last->exact;
+    found.prefix = last->prefix;
+    found.redirect = last->redirect && found.exact == kNone && found.prefix == kNone;
+    if (found.prefix != kNone) return found;
+    last = last->shorter == kNone ? nullptr : &entries_[last->shorter];
+  }
+  for (; last; last = last->shorter == kNone ? nullptr : &entries_[last->shorter])
+    if (last->prefix != kNone && begins(path, last->name)) {
+      found.prefix = static_cast<std::uint32_t>(last->prefix);
+      break;
+    }
+  return found;
+}
+
+}  // namespace cairnjunction::route
--- /dev/null
+++ b/src/route/level.hpp
@@ -0,0 +1,48 @@
+// One level of locations, compiled: which of its names equals a path or is the longest that begins it.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace cairnjunction::route {
+
+class Level {
+ public:
+  static constexpr std::uint32_t kNone = UINT32_MAX;
+
+  struct Found {
+    std::uint32_t exact = kNone;   // location whose exact name the path is
+    std::uint32_t prefix = kNone;  // location with the longest prefix of the path
+    bool redirect = false;         // the path is a name without its last '/', and no name itself
+  };
+
+  // Before seal(), in any order. False if the level has such a one already.
+  bool addExact(const std::string& name, std::uint32_t location);
+  bool addPrefix(const std::string& name, std::uint32_t location);
+  // A path that is `name` without its last byte, a '/', is to be redirected, if it is no name itself.
+  void addRedirect(const std::string& name);
+  void seal();
+
+  Found find(std::string_view path) const;
+
+ private:
+  struct Entry {
+    std::string name;
+    std::uint32_t exact = kNone, prefix = kNone;
+    std::uint32_t shorter = kNone;  // entry with the longest other prefix that begins this one's name
+    bool redirect = false;
+  };
+  Entry& entry(const std::string& name);
+
+  std::vector<Entry> entries_;  // sorted by name once sealed
+  std::vector<std::uint64_t>
+      begins_;          // of each name, eight bytes behind what all share: most comparisons end there
+  std::string shared_;  // what all names begin with
+  std::unordered_map<std::string, std::size_t> building_;  // until sealed
+};
+
+}  // namespace cairnjunction::route
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -15,16 +15,22 @@
 allow membership numbers.hpp
 allow core membership
 allow discovery
-allow config discovery
+allow config discovery route
 allow upstream core
 allow http core upstream
 allow jsonrpc core discovery upstream
 allow ops
-allow app core config discovery http jsonrpc ops upstream standins
+allow route
+allow import/nginx import route
+allow app core config discovery http import jsonrpc ops route upstream standins
 # Beliefs know no protocol, no socket and no clock.
 if grep -nEi 'boost|socket|steady_clock|system_clock' membership/*.?pp | grep -v '//'; then
   echo "src/membership knows more than it should"; bad=1
 fi
+# Routes and their import decide, and do no I/O.
+if grep -nEi 'boost|fstream|socket\(|steady_clock|system_clock' route/*.?pp import/nginx/*.?pp | grep -v '//'; then
+  echo "src/route or src/import knows more than it should"; bad=1
+fi
 # The core knows no protocol, no socket and no clock.
 if grep -nEi 'boost|http|json|socket|steady_clock|system_clock' core/engine.?pp core/call.hpp | grep -v '//'; then
   echo "src/core knows more than it should"; bad=1
