--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <chrono>
+#include <climits>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -85,7 +86,8 @@
   std::int64_t cell = 0;
   double weight = 1;  // comparable across hosts
   Phase phase = Phase::in;
-  Time upSince{};  // latest start; zero = long past
+  Time upSince{};              // latest start; zero = long past
+  int attemptsMost = INT_MAX;  // out to it at a time, from 1 on
 };
 
 enum class ListKind { update, replace, restored, unavailable };
@@ -98,6 +100,7 @@
   Duration cost{};                    // expected work; zero = not known
   std::uint64_t key = 0;
   bool hasKey = false;
+  std::uint32_t attemptsMost = kNone;  // from 1 on, beside Settings::maxAttempts
 };
 
 enum class Outcome {
--- a/src/app/demo.cpp
+++ b/src/app/demo.cpp
@@ -10,6 +10,8 @@
 #include <vector>
 
 #include "app/gateway.hpp"
+#include "config/routes_file.hpp"
+#include "route/router.hpp"
 #include "standins/discovery.hpp"
 #include "standins/worker.hpp"
 
@@ -86,12 +88,22 @@
   jsonrpc::Settings settings =
       jsonrpc::parseSettings(demoJsonRpc(host + std::to_string(options.jsonRpc), options.jsonRpcWorkers));
   jsonrpc::resolve(settings, config.module);
+  std::shared_ptr<const route::Router> router;
+  if (!options.routes.empty()) {
+    route::Routes routes = readRoutes(options.routes);
+    std::size_t next = 0;
+    for (route::Pool& pool : routes.pools)
+      for (route::PoolServer& server : pool.servers)
+        server.address = textOf(workers[next++ % workers.size()]->listening());
+    router = std::make_shared<route::Router>(std::move(routes));
+  }
   Gateway gateway(
-      io, config, {}, [](const std::string&) {}, settings);
+      io, config, {}, [](const std::string&) {}, settings, router);
   const std::string http = textOf(gateway.listening()), rpc = textOf(gateway.listeningJsonRpc());
   const std::string port = std::to_string(gateway.listeningJsonRpc().port());
   out << "gateway for HTTP at " << http << ", for JSON-RPC at " << rpc << "; " << options.workers
-      << " workers, by " << (options.jsonRpcWorkers ? "JSON-RPC" : "HTTP") << "\n\n"
+      << " workers, by " << (options.jsonRpcWorkers ? "JSON-RPC" : "HTTP") << "\n"
+      << (router ? "HTTP goes by " + options.routes + ", whose pools are these workers\n\n" : "\n")
       << "  curl -i http://" << http << "/cut-plan/log-7 -H 'X-Request-Id: r1'\n"
       << "  curl -i http://" << http << "/stock-out -H 'X-Request-Id: r2' -d '{\"log\":7}'\n"
       << "  bash -c 'exec 3<>/dev/tcp/127.0.0.1/" << port
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -80,7 +80,8 @@
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits,
-                 std::function<void(std::string)> log, const jsonrpc::Settings& jsonRpc)
+                 std::function<void(std::string)> log, const jsonrpc::Settings& jsonRpc,
+                 std::shared_ptr<const route::Router> router)
     : io_(io),
       start_(Clock::now()),
       unixStart_(std::chrono::system_clock::now()),
@@ -98,8 +99,14 @@
           waits.discovery),
       waker_(io),
       drainTimer_(io),
-      http_(io, {config.listen, config.acceptFd}, clientLimits(config, waits.clients, jsonRpc),
-            settings_.tenants, engine_, [this] { return ready_ && !draining_; }) {
+      pools_(router
+                 ? std::make_unique<Pools>(io, std::move(router), engine_, hostLimits(config), settings_,
+                                           config.sockets / kClientPart, (config.memoryMb << 20) / kBodyPart,
+                                           [this](const std::string& line) { log_(line); })
+                 : nullptr),
+      http_(
+          io, {config.listen, config.acceptFd}, clientLimits(config, waits.clients, jsonRpc),
+          settings_.tenants, engine_, [this] { return ready_ && !draining_; }, pools_.get()) {
   upstream_->onConnections(
       [this](HostId host, HostConnections now) { engine_.connectionsChanged(host, now); });
   if (jsonRpcSettings_.listen) {
@@ -126,6 +133,7 @@
 
 Gateway::~Gateway() {
   upstream_->stop();
+  if (pools_) pools_->stop();
   discovery_.stop();
 }
 
@@ -206,6 +214,19 @@
   for (const Engine::Tally& tally : engine_.tallies())
     figures.classes.push_back({tally.name, tally.served, tally.refused, tally.failed});
   figures.dispatches = upstream_->dispatches();
+  if (pools_)
+    for (const auto& pool : pools_->fixed()) {
+      const auto& tallies = pool->engine().tallies();
+      for (std::size_t i = 0; i < tallies.size(); ++i) {
+        const auto known = std::find_if(figures.classes.begin(), figures.classes.end(),
+                                        [&](const auto& c) { return c.name == tallies[i].name; });
+        if (known == figures.classes.end()) continue;
+        known->success += tallies[i].served;
+        known->overload += tallies[i].refused;
+        known->error += tallies[i].failed;
+      }
+      figures.dispatches += pool->upstream().dispatches();
+    }
   figures.concurrent = engine_.unanswered();
   const Engine::Targets targets = engine_.targets();
   figures.targets = targets.listed;
@@ -227,8 +248,10 @@
 // The listeners stay as they are until a restart, and so does what JSON-RPC was given beside its classes.
 void Gateway::reload(const Config& config, const jsonrpc::Settings& jsonRpc) {
   const ochrehill::Settings next = moduleSettings(config, jsonRpcSettings_);
-  if (!engine_.configure(next)) throw BadConfig("grades: more classes than there is room for");
+  if ((pools_ && !pools_->mayConfigure(next)) || !engine_.configure(next))
+    throw BadConfig("grades: more classes than there is room for");
   settings_ = next;
+  if (pools_) pools_->configure(next);
   http_.setTenants(settings_.tenants);
   // In place: the front goes by them. A method's class has its index in the file, and another one at work.
   for (std::size_t i = 0; i < jsonRpcSettings_.methods.size() && i < jsonRpc.methods.size(); ++i) {
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "app/pools.hpp"
 #include "config/config.hpp"
 #include "core/engine.hpp"
 #include "core/margin.hpp"
@@ -38,9 +39,12 @@
   };
 
   // Listens and asks discovery at once. Throws boost::system::system_error if it can't listen. `jsonRpc` was
-  // resolved against the settings in `config` (jsonrpc::resolve).
+  // resolved against the settings in `config` (jsonrpc::resolve). With `router` HTTP requests go by it, and
+  // its pools are made; otherwise all go to the hosts from discovery. Throws BadConfig for a server of a pool
+  // with no address.
   Gateway(boost::asio::io_context& io, const Config& config, Waits waits,
-          std::function<void(std::string)> log, const jsonrpc::Settings& jsonRpc = {});
+          std::function<void(std::string)> log, const jsonrpc::Settings& jsonRpc = {},
+          std::shared_ptr<const route::Router> router = nullptr);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
@@ -57,8 +61,10 @@
   std::size_t openRequests() const { return engine_.openCalls(); }
   std::size_t hosts() const { return upstream_->hosts(); }
   const Engine& engine() const { return engine_; }
+  Pools* pools() { return pools_.get(); }  // null: no routes
   std::size_t connections() const {
-    return http_.server().connections() + upstream_->connections() + (jsonRpc_ ? jsonRpc_->connections() : 0);
+    return http_.server().connections() + upstream_->connections() +
+           (jsonRpc_ ? jsonRpc_->connections() : 0) + (pools_ ? pools_->connections() : 0);
   }
   // Finishes what was taken, then closes all and calls `done`.
   void drain(std::function<void()> done);
@@ -95,6 +101,7 @@
   std::function<void()> drained_;
   bool ready_ = false, draining_ = false;
   bool httpEmpty_ = false, jsonRpcEmpty_ = false;  // in a drain: no client is left
+  std::unique_ptr<Pools> pools_;                   // before the front, which goes by them
   HttpFront http_;                                 // the fronts last: they may hand over calls from here on
   std::unique_ptr<jsonrpc::Front> jsonRpc_;
   std::uint64_t reloads_ = 0, reloadFailures_ = 0;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <memory>
 
 #include "app/demo.hpp"
 #include "app/gateway.hpp"
@@ -83,7 +84,10 @@
   Config config = readFile(files, Reading::atStart);
   InForce inForce{config.shape, readJsonRpc(files)};
   const jsonrpc::Settings settings = resolved(inForce.jsonRpc, config);
-  cairnjunction::Gateway gateway(io, config, {}, log, settings);
+  std::shared_ptr<const cairnjunction::route::Router> router;
+  if (!files.routes.empty())
+    router = std::make_shared<cairnjunction::route::Router>(cairnjunction::readRoutes(files.routes));
+  cairnjunction::Gateway gateway(io, config, {}, log, settings, router);
   stops.async_wait([&](boost::system::error_code ec, int) {
     if (!ec) gateway.drain([&] { io.stop(); });
   });
@@ -128,6 +132,7 @@
   Files files;
   app.add_option("--config", files.config, "the configuration (otherwise $GW_CONFIG names it)");
   app.add_option("--jsonrpc", files.jsonRpc, "settings of JSON-RPC (docs/operators/jsonrpc.md); off without");
+  app.add_option("--routes", files.routes, "a file of routes (docs/operators/nginx-import.md); off without");
   CLI::App* checking = app.add_subcommand("check", "check a configuration and end");
   Files checked;
   checking->add_option("FILE", checked.config, "the configuration")->required();
@@ -139,6 +144,7 @@
   showing->add_option("--workers", demo.workers, "")->check(CLI::Range(1, 100))->capture_default_str();
   showing->add_option("--http-port", demo.http, "0: any free one")->capture_default_str();
   showing->add_option("--jsonrpc-port", demo.jsonRpc, "0: any free one")->capture_default_str();
+  showing->add_option("--routes", demo.routes, "serve HTTP by a file of routes");
   showing->add_flag("--jsonrpc-workers", demo.jsonRpcWorkers, "speak JSON-RPC to the workers");
   CLI::App* importing = app.add_subcommand("import", "make routes of another program's configuration");
   importing->require_subcommand(1);
--- /dev/null
+++ b/src/app/pools.cpp
@@ -0,0 +1,207 @@
+// The pools of a file of routes.
+#include "app/pools.hpp"
+
+#include <algorithm>
+#include <climits>
+
+namespace cairnjunction {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using ochrehill::ListKind;
+using ochrehill::Settings;
+using ochrehill::Time;
+using Clock = std::chrono::steady_clock;
+
+constexpr Time kClockStart = std::chrono::hours(24);  // so that "long past" lies before it
+constexpr int kRefused = 503;
+
+// Such a pool has no discovery to ask, and no neighbours that it shares its servers with.
+Settings poolSettings(Settings settings, const route::Pool& pool, std::uint64_t calls) {
+  settings.askDiscovery = false;
+  settings.askWithin = {};
+  settings.seed ^= std::hash<std::string>{}(pool.name);
+  settings.inflightMost = static_cast<std::uint32_t>(std::min<std::uint64_t>(calls, UINT32_MAX));
+  return settings;
+}
+
+asio::ip::tcp::endpoint addressOf(asio::io_context& io, const route::Pool& pool, const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  std::string host = text.substr(0, colon), port = colon == std::string::npos ? "80" : text.substr(colon + 1);
+  if (host.size() > 1 && host.front() == '[') host = host.substr(1, host.size() - 2);
+  error_code ec;
+  asio::ip::tcp::resolver resolver(io);
+  const auto found = resolver.resolve(host, port, ec);
+  if (ec || found.empty())
+    throw BadConfig("pool '" + pool.name + "': '" + text + "' has no address: " + ec.message());
+  return found.begin()->endpoint();
+}
+
+}  // namespace
+
+FixedPool::FixedPool(asio::io_context& io, const route::Pool& pool, std::size_t index,
+                     pools::Budget& descriptors, const HttpUpstream::Limits& limits, const Settings& settings,
+                     std::function<void(std::string)> log)
+    : io_(io),
+      name_(pool.name),
+      index_(index),
+      descriptors_(descriptors),
+      log_(std::move(log)),
+      plan_(pool.servers),
+      upstream_(
+          io, limits, [this](AttemptEnd end) { ended(std::move(end)); },
+          [this](AttemptEnd end) { engine_.answerStarted(std::move(end)); }),
+      engine_(settings, *this, upstream_),
+      waker_(io),
+      planTimer_(io) {
+  upstream_.shareDescriptors(this);
+  upstream_.onConnections(
+      [this](ochrehill::HostId host, HostConnections now) { engine_.connectionsChanged(host, now); });
+  for (std::size_t i = 0; i < pool.servers.size(); ++i) {
+    const route::PoolServer& s = pool.servers[i];
+    const int most = s.connectionsMost > 0
+                         ? static_cast<int>(std::min<std::uint32_t>(s.connectionsMost, INT_MAX))
+                         : INT_MAX;
+    // The same address may stand there twice, as two servers.
+    servers_.push_back({s.address + "#" + std::to_string(i), addressOf(io, pool, s.address), most,
+                        static_cast<double>(s.weight)});
+  }
+  tell(ListKind::replace);
+}
+
+FixedPool::~FixedPool() { upstream_.stop(); }
+
+Time FixedPool::now() const { return kClockStart + (Clock::now() - start_); }
+
+void FixedPool::wakeAt(Time at) {
+  wakeAt_ = at;
+  waker_.expires_at(start_ + (at - kClockStart));
+  waker_.async_wait(lifetime_.guard([this](error_code ec) {
+    if (!ec && now() >= wakeAt_) engine_.wake();
+  }));
+}
+
+void FixedPool::ended(AttemptEnd end) {
+  const auto server = serverOf_.find(end.host);
+  if (server != serverOf_.end() &&
+      plan_.onResult(now(), server->second, pools::failed(end.outcome, end.fault)))
+    tellSoon();
+  engine_.attemptEnded(std::move(end));
+}
+
+// Danger: an attempt may end while actions of the module are carried out, which must not be fed before they
+// are done.
+void FixedPool::tellSoon() {
+  if (std::exchange(telling_, true)) return;
+  asio::post(io_, lifetime_.guard([this] {
+    telling_ = false;
+    tell(ListKind::update);
+  }));
+}
+
+void FixedPool::tell(ListKind kind) {
+  std::vector<ochrehill::HostEntry> entries;
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    ochrehill::HostEntry e;
+    e.address = servers_[i].uid;
+    // Machines of one weight are one kind: the module learns what such a one does.
+    e.kind = std::to_string(servers_[i].weight);
+    e.weight = servers_[i].weight;
+    e.attemptsMost = servers_[i].attemptsMost;
+    e.phase = plan_.offered()[i] ? ochrehill::Phase::in : ochrehill::Phase::draining;
+    entries.push_back(std::move(e));
+  }
+  engine_.tellHosts(kind, entries, [&] {
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      const ochrehill::HostId id = engine_.findHost(servers_[i].uid);
+      if (id == ochrehill::kNone) continue;
+      serverOf_[id] = i;
+      upstream_.list(id, servers_[i].endpoint, plan_.offered()[i]);
+    }
+  });
+  planAt();
+}
+
+void FixedPool::planAt() {
+  const auto at = plan_.next();
+  if (!at) return;
+  planTimer_.expires_at(start_ + (*at - kClockStart));
+  planTimer_.async_wait(lifetime_.guard([this](error_code ec) {
+    if (ec) return;
+    if (plan_.onTime(now())) tell(ListKind::update);
+    else planAt();
+  }));
+}
+
+Pools::Pools(asio::io_context& io, std::shared_ptr<const route::Router> router, Engine& discovered,
+             const HttpUpstream::Limits& limits, const Settings& settings, std::uint64_t calls,
+             std::uint64_t bytes, const std::function<void(std::string)>& log)
+    : router_(std::move(router)),
+      descriptors_(limits.connections, std::max<std::size_t>(router_->routes().pools.size(), 1)),
+      calls_(calls, std::max<std::size_t>(router_->routes().pools.size(), 1)),
+      bytes_(bytes, std::max<std::size_t>(router_->routes().pools.size(), 1)),
+      limiter_(router_->routes()) {
+  const auto& pools = router_->routes().pools;
+  for (std::size_t i = 0; i < pools.size(); ++i) {
+    indexOf_.emplace(pools[i].name, i);
+    if (pools[i].source == route::Pool::Source::discovery) {
+      engines_.push_back(&discovered);
+      continue;
+    }
+    fixed_.push_back(std::make_unique<FixedPool>(io, pools[i], i, descriptors_, limits,
+                                                 poolSettings(settings, pools[i], calls), log));
+    engines_.push_back(&fixed_.back()->engine());
+  }
+}
+
+Engine* Pools::engineOf(std::string_view pool) {
+  const auto known = indexOf_.find(pool);
+  return known == indexOf_.end() ? nullptr : engines_[known->second];
+}
+
+int Pools::admit(const route::Decision& decision, std::uint64_t bytes, Hold& hold) {
+  const std::size_t pool = indexOf_.find(decision.pool)->second;
+  if (!calls_.take(pool, 1)) return kRefused;
+  if (!bytes_.take(pool, bytes)) {
+    calls_.give(pool, 1);
+    return kRefused;
+  }
+  if (const int status = limiter_.admit(Clock::now().time_since_epoch(), decision)) {
+    calls_.give(pool, 1);
+    bytes_.give(pool, bytes);
+    return status;
+  }
+  hold = {pool, bytes, decision.connections};
+  return 0;
+}
+
+void Pools::over(const Hold& hold) {
+  calls_.give(hold.pool, 1);
+  bytes_.give(hold.pool, hold.bytes);
+  limiter_.over(hold.connections);
+}
+
+bool Pools::mayConfigure(const Settings& settings) const {
+  return std::all_of(fixed_.begin(), fixed_.end(),
+                     [&](const auto& pool) { return pool->engine().mayConfigure(settings); });
+}
+
+void Pools::configure(const Settings& settings) {
+  const auto& pools = router_->routes().pools;
+  for (std::size_t i = 0, at = 0; i < pools.size(); ++i)
+    if (pools[i].source == route::Pool::Source::fixed)
+      fixed_[at++]->engine().configure(poolSettings(settings, pools[i], settings.inflightMost));
+}
+
+void Pools::stop() {
+  for (const auto& pool : fixed_) pool->upstream().stop();
+}
+
+std::size_t Pools::connections() const {
+  std::size_t n = 0;
+  for (const auto& pool : fixed_) n += pool->upstream().connections();
+  return n;
+}
+
+}  // namespace cairnjunction
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -133,13 +133,19 @@
   run();
 }
 
-bool Engine::configure(ochrehill::Settings settings) {
+// Nothing, if there are more than there is room for.
+std::optional<ClassTable> Engine::nextClasses(const ochrehill::Settings& settings) const {
+  if (tallies_.size() + settings.classes.size() > kNamesMost) return std::nullopt;
   std::vector<bool> held(classes_.byIndex().size(), false);
   for (const auto& [id, open] : calls_)
     if (open.call.facts.classIndex < held.size()) held[open.call.facts.classIndex] = true;
-  auto next = classes_.with(settings.classes,
-                            [&](std::uint32_t index) { return index < held.size() && held[index]; });
-  if (!next || tallies_.size() + settings.classes.size() > kNamesMost) return false;
+  return classes_.with(settings.classes,
+                       [&](std::uint32_t index) { return index < held.size() && held[index]; });
+}
+
+bool Engine::configure(ochrehill::Settings settings) {
+  auto next = nextClasses(settings);
+  if (!next) return false;
   settings.classes = next->byIndex();
   const ochrehill::Duration coldTime = settings.coldTime;
   balancer_.configure(runtime_.now(), std::move(settings));
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -79,6 +80,7 @@
   // changed, if there are more classes than the table or the figures have room for. Throws
   // std::invalid_argument like the constructor.
   bool configure(ochrehill::Settings settings);
+  bool mayConfigure(const ochrehill::Settings& settings) const { return nextClasses(settings).has_value(); }
   const ClassTable& classes() const { return classes_; }
   Targets targets() const;
   const Membership& membership() const { return membership_; }
@@ -114,6 +116,7 @@
   void count(const Open& open, Verdict verdict);
   void dropOver();
   void renewTallies();
+  std::optional<ClassTable> nextClasses(const ochrehill::Settings& settings) const;
 
   Runtime& runtime_;
   Upstream& upstream_;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -12,6 +12,8 @@
 #include <utility>
 
 #include "core/margin.hpp"
+#include "route/names.hpp"
+#include "route/path.hpp"
 
 namespace cairnjunction {
 namespace {
@@ -29,12 +31,29 @@
   return error == std::errc{} && end == text.data() + text.size();
 }
 
+// Makes the path canonical, in the message itself: what names the class is what the host is sent. False for
+// one that two readers could take for different paths.
+bool makeCanonical(HttpRequest& message) {
+  const std::string_view target(message.target().data(), message.target().size());
+  if (route::isCanonical(target)) return true;
+  const route::CanonicalPath path = route::canonical(target);
+  if (!path.good()) return false;
+  const std::string whole = route::encoded(path.path) + (path.hasQuery ? "?" + path.query : "");
+  message.target({whole.data(), whole.size()});
+  return true;
+}
+
 // The first part of the path: "checkout" of "/checkout/7?x=1".
 std::string_view firstPart(string_view target) {
-  std::string_view path(target.data(), target.size());
-  if (path.empty() || path.front() != '/') return {};
-  path.remove_prefix(1);
-  return path.substr(0, path.find_first_of("/?"));
+  return route::firstPart(std::string_view(target.data(), target.size()).substr(0, target.find('?')));
+}
+
+// RFC 9112, 3.2: a request of HTTP/1.1 says its host once; nobody's may say two.
+bool hostIsGood(const HttpRequest& message) {
+  const std::size_t hosts = message.count(http::field::host);
+  if (hosts == 0) return message.version() < 11;
+  const string_view host = message[http::field::host];
+  return hosts == 1 && route::goodAuthority({host.data(), host.size()});
 }
 
 // The value of one cookie, or nothing.
@@ -57,6 +76,31 @@
   return error == std::errc{} && end == text.data() + text.size() ? key : std::hash<std::string_view>{}(text);
 }
 
+std::string_view view(string_view text) { return {text.data(), text.size()}; }
+
+// Danger: what a client sent may be part of it, and a line break would end the field.
+std::string lineOf(std::string text) {
+  std::erase_if(text, [](char c) { return static_cast<unsigned char>(c) < ' ' || c == 0x7f; });
+  return text;
+}
+
+class RequestHeaders final : public route::Headers {
+ public:
+  explicit RequestHeaders(const HttpRequest& message) : message_(message) {}
+  std::string value(std::string_view name) const override {
+    std::string all;
+    const auto [begin, end] = message_.equal_range({name.data(), name.size()});
+    for (auto it = begin; it != end; ++it) {
+      if (it != begin) all += ", ";
+      all += view(it->value());
+    }
+    return all;
+  }
+
+ private:
+  const HttpRequest& message_;
+};
+
 HttpAnswer plain(http::status status) {
   HttpAnswer answer;
   answer.status = status;
@@ -67,13 +111,15 @@
 
 HttpFront::HttpFront(asio::io_context& io, const Listen& listen, HttpServer::Limits limits,
                      const std::vector<ochrehill::TenantSettings>& tenants, Engine& engine,
-                     std::function<bool()> up)
+                     std::function<bool()> up, HttpRouting* routing)
     : engine_(engine),
       up_(std::move(up)),
+      routing_(routing),
       server_(io, listen, limits,
               {[this](ClientRequest request) { received(std::move(request)); },
                [this](ExchangeId exchange) { clientGone(exchange); }}) {
   setTenants(tenants);
+  if (routing_) server_.tellClients();
 }
 
 void HttpFront::setTenants(const std::vector<ochrehill::TenantSettings>& tenants) {
@@ -87,28 +133,104 @@
   if (message.target() == "/up" && message.method() == http::verb::get)
     return server_.answer(request.exchange,
                           plain(up_() ? http::status::ok : http::status::service_unavailable));
+  if (!hostIsGood(message)) return server_.answer(request.exchange, plain(http::status::bad_request));
+  if (routing_) return route(std::move(request));
+  if (!makeCanonical(message)) return server_.answer(request.exchange, plain(http::status::bad_request));
   Call call;
-  call.streams = true;
-  const http::status status = describe(message, call);
+  const http::status status = describe(message, firstPart(message.target()), engine_, call);
   if (status != http::status::ok) return server_.answer(request.exchange, plain(status));
-  call.facts.left -= (Clock::now() - request.came) + kAnswerMargin;
   call.message = messageOf(message);
-  call.message.operation = engine_.classes().byIndex()[call.facts.classIndex].name;
+  take(request, std::move(call), engine_, {});
+}
+
+void HttpFront::take(ClientRequest& request, Call call, Engine& engine, HttpRouting::Hold hold) {
+  call.streams = true;
+  call.facts.left -= (Clock::now() - request.came) + kAnswerMargin;
+  call.message.operation = engine.classes().byIndex()[call.facts.classIndex].name;
   // The id is known before the reply may come, which takes it out again.
-  CallId& id = open_[request.exchange];
-  if (engine_.take(std::move(call), *this, request.exchange, &id) == Engine::Taken::yes) return;
-  open_.erase(request.exchange);
+  Open& open = open_[request.exchange];
+  open.engine = &engine;
+  open.hold = std::move(hold);
+  if (engine.take(std::move(call), *this, request.exchange, &open.id) == Engine::Taken::yes) return;
+  over(open_.find(request.exchange));
   server_.answer(request.exchange, plain(http::status::conflict));
 }
 
-// What the module is to know of a request; `ok`, or the status to answer.
-http::status HttpFront::describe(const HttpRequest& message, Call& call) const {
+HttpFront::Open HttpFront::over(std::unordered_map<ExchangeId, Open>::iterator at) {
+  Open open = std::move(at->second);
+  open_.erase(at);
+  if (routing_) routing_->over(open.hold);
+  return open;
+}
+
+// --- By routes ------------------------------------------------------------------------------------------
+
+void HttpFront::route(ClientRequest request) {
+  const HttpRequest& message = request.message;
+  const RequestHeaders headers(message);
+  const std::string client = request.client.is_unspecified() ? "" : request.client.to_string();
+  route::Request asked;
+  asked.method = view(message.method_string());
+  asked.host = view(message[http::field::host]);
+  asked.target = view(message.target());
+  asked.remote = client;
+  asked.headers = &headers;
+  const route::Decision decision = routing_->router().route(asked);
+  switch (decision.kind) {
+    case route::Decision::Kind::close: return server_.drop(request.exchange);
+    case route::Decision::Kind::proxy: return routed(std::move(request), decision);
+    case route::Decision::Kind::answer: break;
+  }
+  HttpAnswer answer;
+  answer.status = http::int_to_status(static_cast<unsigned>(decision.status));
+  if (answer.status == http::status::unknown) answer.status = http::status::internal_server_error;
+  const bool redirect = decision.status >= 301 && decision.status <= 308 && decision.status != 304;
+  if (redirect && !decision.text.empty()) answer.fields.add("Location", lineOf(decision.text));
+  else if (!decision.text.empty()) {
+    answer.fields.add("Content-Type", "text/plain");
+    answer.body = decision.text;
+  }
+  server_.answer(request.exchange, std::move(answer));
+}
+
+void HttpFront::routed(ClientRequest request, const route::Decision& decision) {
+  HttpRequest& message = request.message;
+  const auto turnDown = [&](http::status status) { server_.answer(request.exchange, plain(status)); };
+  Engine* engine = routing_->engineOf(decision.pool);
+  if (!engine) return turnDown(http::status::bad_gateway);
+  const std::uint64_t bytes = message.body().size();
+  const auto& most = decision.location->bodyMost;
+  if (most && *most > 0 && bytes > *most) return turnDown(http::status::payload_too_large);
+  Call call;
+  const http::status status = describe(message, decision.className, *engine, call);
+  if (status != http::status::ok) return turnDown(status);
+  const route::Proxy& proxy = *decision.location->proxy;
+  if (proxy.timeout) call.facts.left = std::min<Duration>(call.facts.left, *proxy.timeout);
+  if (proxy.attempts && *proxy.attempts > 0) call.facts.attemptsMost = *proxy.attempts;
+  HttpRouting::Hold hold;
+  if (const int refused = routing_->admit(decision, bytes, hold)) {
+    HttpAnswer answer = plain(http::int_to_status(static_cast<unsigned>(refused)));
+    answer.fields.add("Retry-After", "1");
+    return server_.answer(request.exchange, std::move(answer));
+  }
+  FieldNames replaced;
+  for (const auto& [name, value] : decision.headers) replaced.push_back(name);
+  call.message = messageOf(message, replaced);
+  call.message.target = decision.uri;
+  for (const auto& [name, value] : decision.headers)
+    if (route::sameText(name, "Host")) call.message.authority = value;
+    else if (!value.empty()) call.message.fields.add(name, value);
+  take(request, std::move(call), *engine, std::move(hold));
+}
+
+http::status HttpFront::describe(const HttpRequest& message, std::string_view className, const Engine& engine,
+                                 Call& call) const {
   ochrehill::Request& request = call.facts;
-  const ClassIndexes& classes = engine_.classes().current();
-  const auto found = classes.find(std::string(firstPart(message.target())));
+  const ClassIndexes& classes = engine.classes().current();
+  const auto found = classes.find(std::string(className));
   if (found == classes.end()) return http::status::not_found;
   request.classIndex = found->second;
-  const ochrehill::ClassSettings& c = engine_.classes().byIndex()[found->second];
+  const ochrehill::ClassSettings& c = engine.classes().byIndex()[found->second];
   if (message.count("X-Class") && message["X-Class"] != string_view(c.name)) return http::status::bad_request;
   call.name = message["X-Request-Id"].to_string();
   if (call.name.empty()) return http::status::bad_request;
@@ -141,13 +263,12 @@
 void HttpFront::clientGone(ExchangeId exchange) {
   const auto known = open_.find(exchange);
   if (known == open_.end()) return;
-  const CallId id = known->second;
-  open_.erase(known);
-  engine_.abandon(id);
+  const Open open = over(known);
+  open.engine->abandon(open.id);
 }
 
 void HttpFront::onReply(std::uint64_t ticket, Reply reply) {
-  open_.erase(ticket);
+  if (const auto known = open_.find(ticket); known != open_.end()) over(known);
   HttpAnswer answer;
   if (reply.verdict == Verdict::served) {
     answer.fromHost = true;
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "core/engine.hpp"
+#include "http/routing.hpp"
 #include "http/server.hpp"
 #include "ochrehill/ochrehill.hpp"
 
@@ -18,9 +20,11 @@
 class HttpFront final : public ReplySink {
  public:
   // Listens at once; throws boost::system::system_error. `engine` must outlive it. `up` tells
-  // whether GET /up is answered 200.
+  // whether GET /up is answered 200. With `routing`, which must outlive it too, requests go by routes;
+  // otherwise all go to `engine`.
   HttpFront(boost::asio::io_context& io, const Listen& listen, HttpServer::Limits limits,
-            const std::vector<ochrehill::TenantSettings>& tenants, Engine& engine, std::function<bool()> up);
+            const std::vector<ochrehill::TenantSettings>& tenants, Engine& engine, std::function<bool()> up,
+            HttpRouting* routing = nullptr);
   HttpFront(const HttpFront&) = delete;
   HttpFront& operator=(const HttpFront&) = delete;
 
@@ -31,15 +35,28 @@
   void onReply(std::uint64_t ticket, Reply reply) override;
 
  private:
+  struct Open {
+    CallId id = 0;
+    Engine* engine = nullptr;
+    HttpRouting::Hold hold;
+  };
+
   void received(ClientRequest request);
-  boost::beast::http::status describe(const HttpRequest& message, Call& call) const;
+  void route(ClientRequest request);
+  void routed(ClientRequest request, const route::Decision& decision);
+  void take(ClientRequest& request, Call call, Engine& engine, HttpRouting::Hold hold);
+  // What the module is to know of a request of the class that its path names; `ok`, or the status to answer.
+  boost::beast::http::status describe(const HttpRequest& message, std::string_view className,
+                                      const Engine& engine, Call& call) const;
+  Open over(std::unordered_map<ExchangeId, Open>::iterator at);
   void clientGone(ExchangeId exchange);
 
   Engine& engine_;
   std::function<bool()> up_;
   std::unordered_map<std::string, std::uint32_t> tenantOf_;
-  std::unordered_map<ExchangeId, CallId> open_;  // at most one for each connection
-  HttpServer server_;                            // last: it may hand over requests from here on
+  HttpRouting* routing_;                       // null: none
+  std::unordered_map<ExchangeId, Open> open_;  // at most one for each connection
+  HttpServer server_;                          // last: it may hand over requests from here on
 };
 
 }  // namespace cairnjunction
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -141,15 +141,16 @@
   return text;
 }
 
-Message messageOf(HttpRequest& request) {
+Message messageOf(HttpRequest& request, const FieldNames& replaced) {
   Message message;
   message.verb = request.method_string().to_string();
   message.target = request.target().to_string();
   message.authority = request[http::field::host].to_string();
   message.body = std::move(request.body());
-  copyFields(request, message.fields, [](const auto& field) {
+  copyFields(request, message.fields, [&](const auto& field) {
     if (field.name() == http::field::host) return true;
     const string_view name = field.name_string();
+    if (!replaced.empty() && listed(replaced, name)) return true;
     return boost::beast::iequals(name, "X-Request-Id") || boost::beast::iequals(name, "X-Deadline-Ms") ||
            boost::beast::iequals(name, "Idempotency-Key");
   });
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/call.hpp"
 
@@ -46,7 +47,9 @@
 
 // What a client asks, without what concerns only its connection (RFC 9110, 7.6.1) and what wireText writes
 // itself: the call's name, key, time, length and host. Takes the body.
-Message messageOf(HttpRequest& request);
+// `replaced`: names of further fields that are left out, since the caller adds its own.
+using FieldNames = std::vector<std::string>;
+Message messageOf(HttpRequest& request, const FieldNames& replaced = {});
 
 // The head of a host's answer, without what concerns only the connection and its load report.
 Message answerOf(const boost::beast::http::response_header<>& head);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -240,7 +240,8 @@
     const bool first = std::exchange(first_, false);
     HttpRequest message = parser_->release();
     if (message.chunked()) message.base() = std::move(head_);
-    ClientRequest request{exchange_ = ++server_->lastExchange_, std::move(message), Clock::now()};
+    ClientRequest request{exchange_ = ++server_->lastExchange_, std::move(message), Clock::now(), {}};
+    if (server_->tellClients_) request.client = client();
     become(State::waiting);
     server_->waiting_.emplace(exchange_, shared_from_this());
     if (buffer_.size() == 0) arm();
@@ -265,6 +266,13 @@
     socket_.write_some(asio::buffer(word), ignored);
   }
 
+  // Asked for once.
+  const asio::ip::address& client() {
+    error_code ec;
+    if (!client_) client_ = socket_.remote_endpoint(ec).address();
+    return *client_;
+  }
+
   void reject(http::status status) {
     keepAlive_ = false;
     HttpAnswer refusal;
@@ -299,6 +307,7 @@
   State state_ = State::fresh;
   Queue::iterator place_;
   ExchangeId exchange_ = 0;
+  std::optional<asio::ip::address> client_;
   Clock::time_point since_ = Clock::now(), begunAt_;  // of the state; of a request's first byte
   std::size_t discarded_ = 0, charged_ = 0;
   bool begun_ = false, headSeen_ = false, bodyBegun_ = false, armed_ = false, keepAlive_ = false;
@@ -329,6 +338,14 @@
     while (!sessions.empty()) sessions.front()->close();
 }
 
+void HttpServer::drop(ExchangeId exchange) {
+  const auto it = waiting_.find(exchange);
+  if (it == waiting_.end()) return;
+  const auto session = std::move(it->second);
+  waiting_.erase(it);
+  session->close();
+}
+
 void HttpServer::answer(ExchangeId exchange, HttpAnswer answer) {
   const auto it = waiting_.find(exchange);
   if (it == waiting_.end()) return;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -24,6 +24,7 @@
   ExchangeId exchange = 0;
   HttpRequest message;
   std::chrono::steady_clock::time_point came;  // its last byte, from which its client's time counts
+  boost::asio::ip::address client;  // whose connection it is; unspecified where that is not asked for
 };
 
 // Where to listen: an address, or a listening socket that was inherited and that others hold too, so what
@@ -60,7 +61,9 @@
   boost::asio::ip::tcp::endpoint listening() const { return acceptor_.local_endpoint(); }
   void setLimits(const Limits& limits) { limits_ = limits; }
   void answer(ExchangeId exchange, HttpAnswer answer);
-  void lastAnswers();    // from now on every answer closes its connection
+  void drop(ExchangeId exchange);              // closes its connection without a word
+  void tellClients() { tellClients_ = true; }  // from now on requests come with ClientRequest::client
+  void lastAnswers();                          // from now on every answer closes its connection
   void stopListening();  // takes what waits, then closes the listener; clients that are there stay
   void stopAccepting();  // that, and closes idle connections
   std::size_t connections() const { return open_; }
@@ -94,7 +97,7 @@
   std::size_t open_ = 0, bodies_ = 0;
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   ExchangeId lastExchange_ = 0;
-  bool last_ = false;
+  bool last_ = false, tellClients_ = false;
   Lifetime lifetime_;  // of what the event loop is still to call
 };
 
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -84,6 +84,7 @@
     socket.close(ignored);
     if (const auto broken = std::exchange(stream, nullptr)) broken->fail();
     --pool->open_;
+    if (pool->share_) pool->share_->give();
     if (!detached) pool->count(host, -1, up ? -1 : 0);
   }
 
@@ -388,6 +389,9 @@
   if (fresh) {
     if (open_ >= limits_.connections && !closeOldestIdle())
       return ended_(unreached(key, host, Fault::noDescriptor));
+    // Given back by its end. An idle one of ours may make room for it.
+    if (share_ && !share_->take() && !(closeOldestIdle() && share_->take()))
+      return ended_(unreached(key, host, Fault::noDescriptor));
     connection = std::make_shared<Connection>(*this, host);
   }
   connection->key = key;
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -17,6 +17,7 @@
 #include "lifetime.hpp"
 #include "ochrehill/ochrehill.hpp"
 #include "upstream/host_upstream.hpp"
+#include "upstream/share.hpp"
 
 namespace cairnjunction {
 
@@ -36,6 +37,8 @@
   HttpUpstream& operator=(const HttpUpstream&) = delete;
 
   void setLimits(const Limits& limits) { limits_ = limits; }
+  // Beside the limit each connection is then one of a part shared with others. `share` must outlive us.
+  void shareDescriptors(DescriptorShare* share) { share_ = share; }
   bool list(ochrehill::HostId host, const boost::asio::ip::tcp::endpoint& endpoint, bool serving) override;
   void unlistAll() override;
   void forget(ochrehill::HostId host) override;
@@ -64,6 +67,7 @@
   Limits limits_;
   Ended ended_;
   AnswerStarted started_;
+  DescriptorShare* share_ = nullptr;  // null: the limit alone
   std::unordered_map<ochrehill::HostId, Host> hosts_;
   std::unordered_map<AttemptKey, std::shared_ptr<Connection>, AttemptKeyHash> busy_;
   std::size_t open_ = 0;
--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -39,6 +39,7 @@
   r.cost = cost > 0 ? std::clamp(cost / c.meanCost, 0.2, 5.0) : 1.0;
   r.key = q.key;
   r.hasKey = q.hasKey;
+  r.most = q.attemptsMost;
   r.deadline = now + q.left;
   // Clients give single tries the same time, and a later one what is left of their total wait. A try whose
   // time is not the usual one tells how much was spent before; that no longer earns. Danger: by a median,
@@ -81,7 +82,7 @@
 
 bool Module::send(Open& r) {
   const Time last = lastUse(r);
-  if (last <= now || r.count >= std::min<std::size_t>(set.maxAttempts, kTries)) return false;
+  if (last <= now || r.count >= std::min<std::size_t>({set.maxAttempts, r.most, kTries})) return false;
   // Danger: what comes with less time than an answer takes now gains little, takes the place of others and
   // feeds an overload. In calm there is room to try.
   if (cut > 1 && hopeless(r, 0)) return false;
--- a/src/policy/module.hpp
+++ b/src/policy/module.hpp
@@ -144,6 +144,7 @@
 
   // --- pick
   double trust(const Host& h, std::uint32_t cls) const;
+  bool holdsItsMost(const Host& h) const { return h.inflight >= h.entry.attemptsMost; }
   double load(const Host& h) const { return (h.inflight + 1) * h.pace; }
   bool idle(const Host& h) const {  // holds few of ours; a fast host may hold more
     return h.inflight < few * medianPace / std::max(h.pace, 0.05);
--- a/src/policy/pick.cpp
+++ b/src/policy/pick.cpp
@@ -55,7 +55,7 @@
       for (std::uint32_t i = 0; i < r.count; ++i) tried |= r.tries[i].host == id;
       if (tried) continue;
     }
-    if (!allowed(r, h) || !coldMayTake(h)) continue;
+    if (!allowed(r, h) || !coldMayTake(h) || holdsItsMost(h)) continue;
     ready.push_back(id);
     found |= idle(h);
   }
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -70,7 +70,7 @@
   std::uint64_t key = 0;
   bool hasKey = false, live = false, ended = false, bound = false;
   std::array<Try, kTries> tries;
-  std::uint32_t count = 0, out = 0;
+  std::uint32_t count = 0, out = 0, most = kTries;
 };
 
 struct Kind {  // machines of one size
--- a/src/route/level.cpp
+++ b/src/route/level.cpp
@@ -6,13 +6,13 @@
 namespace cairnjunction::route {
 namespace {
 
-constexpr std::size_t kBegin = sizeof(std::uint64_t);
+constexpr std::size_t kWord = sizeof(std::uint64_t);
 
-// The first eight bytes, as a number that is ordered as they are; a shorter text is filled up with zeros,
+// Eight bytes from `at` on, as a number that is ordered as they are; a shorter text is filled up with zeros,
 // which no path holds.
-std::uint64_t beginOf(std::string_view text) {
+std::uint64_t wordAt(std::string_view text, std::size_t at) {
   std::uint64_t number = 0;
-  for (std::size_t i = 0; i < kBegin; ++i)
+  for (std::size_t i = at; i < at + kWord; ++i)
     number = number << 8 | (i < text.size() ? static_cast<unsigned char>(text[i]) : 0);
   return number;
 }
@@ -53,10 +53,16 @@
   const std::string &first = entries_.front().name, &last = entries_.back().name;
   const auto differ = std::mismatch(first.begin(), first.end(), last.begin(), last.end()).first;
   shared_.assign(first.begin(), differ);
-  begins_.reserve(entries_.size());
+  std::size_t longest = 0;
+  for (const Entry& e : entries_) longest = std::max(longest, e.name.size() - shared_.size());
+  columns_.resize(std::min(kColumnsMost, longest / kWord + 1));
+  for (std::size_t column = 0; column < columns_.size(); ++column) {
+    columns_[column].reserve(entries_.size());
+    for (const Entry& e : entries_)
+      columns_[column].push_back(wordAt(std::string_view(e.name).substr(shared_.size()), column * kWord));
+  }
   for (std::size_t i = 0; i < entries_.size(); ++i) {
     Entry& e = entries_[i];
-    begins_.push_back(beginOf(std::string_view(e.name).substr(shared_.size())));
     // What begins this name begins the one before it too, or is that one.
     for (std::size_t at = i; at > 0 && e.shorter == kNone;) {
       const Entry& before = entries_[at - 1];
@@ -72,16 +78,19 @@
   Found found;
   if (!begins(path, shared_)) return found;
   const std::string_view rest = path.substr(shared_.size());
-  const std::uint64_t begin = beginOf(rest);
-  // The last name that is not after the path: by eight bytes, then by what follows among those that share
-  // them.
-  const auto low = std::lower_bound(begins_.begin(), begins_.end(), begin);
-  const auto high = low == begins_.end() || *low != begin ? low : std::upper_bound(low, begins_.end(), begin);
-  const auto at = [&](auto it) { return static_cast<std::size_t>(it - begins_.begin()); };
-  const auto from = entries_.begin() + static_cast<std::ptrdiff_t>(at(low));
-  const auto to = entries_.begin() + static_cast<std::ptrdiff_t>(at(high));
-  auto after =
-      std::upper_bound(from, to, path, [](std::string_view text, const Entry& e) { return text < e.name; });
+  // The last name that is not after the path: ever fewer share its next eight bytes, and what is left is
+  // compared.
+  std::size_t low = 0, high = entries_.size();
+  for (std::size_t column = 0; column < columns_.size() && low < high; ++column) {
+    const std::uint64_t word = wordAt(rest, column * kWord);
+    const std::uint64_t* begin = columns_[column].data();
+    const auto first = std::lower_bound(begin + low, begin + high, word);
+    high = static_cast<std::size_t>(std::upper_bound(first, begin + high, word) - begin);
+    low = static_cast<std::size_t>(first - begin);
+  }
+  const auto at = [&](std::size_t i) { return entries_.begin() + static_cast<std::ptrdiff_t>(i); };
+  auto after = std::upper_bound(at(low), at(high), path,
+                                [](std::string_view text, const Entry& e) { return text < e.name; });
   if (after == entries_.begin()) return found;
   const Entry* last = &*--after;
   if (last->name == path) {
--- a/src/route/level.hpp
+++ b/src/route/level.hpp
@@ -38,9 +38,13 @@
   };
   Entry& entry(const std::string& name);
 
+  // Names are searched by eight bytes at a time, each a number in an array of its own: a search among many
+  // touches little memory, and no name's text before the last step.
+  static constexpr std::size_t kColumnsMost = 8;
+
   std::vector<Entry> entries_;  // sorted by name once sealed
-  std::vector<std::uint64_t>
-      begins_;          // of each name, eight bytes behind what all share: most comparisons end there
+  std::vector<std::vector<std::uint64_t>>
+      columns_;         // of each name, behind what all share: bytes 0 to 7, 8 to 15, ...
   std::string shared_;  // what all names begin with
   std::unordered_map<std::string, std::size_t> building_;  // until sealed
 };
--- a/src/route/path.cpp
+++ b/src/route/path.cpp
@@ -98,9 +98,11 @@
 template <class Plain>
 std::string escaped(std::string_view text, Plain plain) {
   constexpr char hex[] = "0123456789ABCDEF";
-  std::string out;
-  out.reserve(text.size());
-  for (const char c : text) {
+  const auto odd =
+      std::find_if(text.begin(), text.end(), [&](char c) { return !plain(static_cast<unsigned char>(c)); });
+  std::string out(text.begin(), odd);
+  if (odd == text.end()) return out;
+  for (const char c : text.substr(out.size())) {
     const auto byte = static_cast<unsigned char>(c);
     if (plain(byte)) out += c;
     else out.append({'%', hex[byte >> 4], hex[byte & 15]});
@@ -155,6 +157,12 @@
   return result;
 }
 
+bool isCanonical(std::string_view target) {
+  const std::string_view path = target.substr(0, target.find('?'));
+  return path.size() <= kPathMost && !path.empty() && path.front() == '/' && canonicalAlready(path) &&
+         target.find('#') == std::string_view::npos;
+}
+
 PathFault normalise(std::string& path, bool mergeSlashes) {
   if (path.empty() || path.front() != '/') return PathFault::notAbsolute;
   if (path.size() > kPathMost) return PathFault::tooLong;
--- a/src/route/path.hpp
+++ b/src/route/path.hpp
@@ -39,6 +39,10 @@
 // `target`: a request's target in origin form (RFC 9112, 3.2.1): path and query.
 CanonicalPath canonical(std::string_view target, bool mergeSlashes = true);
 
+// Whether a target's path is canonical as it stands, with nothing to decode: then it may go on as it is, and
+// nothing needs to be copied.
+bool isCanonical(std::string_view target);
+
 // Makes a decoded path that was put together from parts canonical again, in place.
 PathFault normalise(std::string& path, bool mergeSlashes);
 
--- a/src/route/router.cpp
+++ b/src/route/router.cpp
@@ -23,6 +23,12 @@
   std::vector<std::pair<std::string, Text>> headers;
 };
 
+struct CompiledLimit {
+  std::size_t zone = 0;
+  Text key;
+  std::uint32_t most = 0;
+};
+
 struct CompiledLocation {
   const Location* source = nullptr;
   std::string text;
@@ -30,6 +36,7 @@
   Steps steps;
   std::optional<CompiledProxy> proxy;
   Text fallback;
+  std::vector<CompiledLimit> rates, connections;
 };
 
 struct CompiledExpression {
@@ -215,6 +222,11 @@
         location.steps.compile(source.steps, texts);
         location.fallback = texts.compile(source.fallback);
         if (source.proxy) location.proxy = compiledProxy(*source.proxy, where);
+        for (const RateLimit& limit : source.rates)
+          location.rates.push_back(compiledLimit(routes.rateZones, limit.zone, limit.burst, where));
+        for (const ConnectionLimit& limit : source.connections)
+          location.connections.push_back(
+              compiledLimit(routes.connectionZones, limit.zone, limit.most, where));
       });
     }
     const bool regex = source.modifier == Modifier::regex || source.modifier == Modifier::regexCaseless;
@@ -255,6 +267,14 @@
       bad(where, "'" + textOf(nested) + "' lies outside '" + textOf(parent) + "'");
   }
 
+  template <class Zones>
+  CompiledLimit compiledLimit(const Zones& zones, const std::string& name, std::uint32_t most,
+                              const std::string& where) const {
+    for (std::size_t i = 0; i < zones.size(); ++i)
+      if (zones[i].name == name) return {i, texts.compile(zones[i].key), most};
+    bad(where, "there is no zone '" + name + "'");
+  }
+
   CompiledProxy compiledProxy(const Proxy& source, const std::string& where) {
     CompiledProxy proxy;
     proxy.pool = texts.compile(source.pool);
@@ -424,20 +444,12 @@
   Decision proxied(const CompiledLocation& location, Context& context, Decision d, bool merge,
                    bool rewritten) const {
     const CompiledProxy& proxy = *location.proxy;
-    std::string path = context.path, args = context.args;
-    const auto take = [&](std::string_view uri) {  // one that stands for all: path and arguments
-      const CanonicalPath whole = canonical(uri, merge);
-      path = whole.path;
-      args = whole.query;
-      return whole.good();
-    };
-    bool good = true;
     d.pool = texts.evaluate(proxy.pool, context);
+    std::optional<std::string> whole;  // by variables: stands for path and arguments
     if (!proxy.pool.constant()) {
       if (const std::size_t slash = d.pool.find('/'); slash != std::string::npos) {
-        const std::string uri = d.pool.substr(slash);
+        whole = d.pool.substr(slash);
         d.pool.resize(slash);
-        good = take(reencoded(uri));
       }
       if (!pools.contains(d.pool)) {
         d.pool.clear();
@@ -445,25 +457,35 @@
       }
     }
     context.proxyHost = d.pool;
-    if (proxy.uri && !rewritten) {
-      if (proxy.uri->constant()) {
-        path = proxy.uri->literal() + context.path.substr(location.source->pattern.size());
-        good = normalise(path, merge) == PathFault::none;
-      } else {
-        good = take(reencoded(texts.evaluate(*proxy.uri, context)));
-      }
-    }
+    d.headers.reserve(proxy.headers.size());
     for (const auto& [name, value] : proxy.headers)
       d.headers.emplace_back(name, cleanValue(texts.evaluate(value, context)));
+    for (const auto& [limits, counted] :
+         {std::pair(&location.rates, &d.rates), std::pair(&location.connections, &d.connections)})
+      for (const CompiledLimit& limit : *limits)
+        if (std::string key = texts.evaluate(limit.key, context); !key.empty())
+          counted->push_back({limit.zone, std::move(key), limit.most});
+    if (proxy.uri && !rewritten && !proxy.uri->constant()) whole = texts.evaluate(*proxy.uri, context);
     if (context.exhausted) return answer(std::move(d), 500, "an expression took too many steps");
+    bool good = true;
+    if (whole) {
+      CanonicalPath taken = canonical(reencoded(*whole), merge);
+      good = taken.good();
+      d.path = std::move(taken.path);
+      context.args = std::move(taken.query);
+    } else if (proxy.uri && !rewritten) {
+      d.path = proxy.uri->literal() + context.path.substr(location.source->pattern.size());
+      good = normalise(d.path, merge) == PathFault::none;
+    } else {
+      d.path = std::move(context.path);
+    }
     if (!good) return answer(std::move(d), 500, "what the worker would be asked for is no path");
     d.kind = Decision::Kind::proxy;
     d.status = 0;
-    d.uri = encoded(path);
-    if (!args.empty()) d.uri.append("?").append(safeUrl(args));
+    d.uri = encoded(d.path);
+    if (!context.args.empty()) d.uri.append("?").append(safeUrl(context.args));
     d.className =
-        location.source->className.empty() ? std::string(firstPart(path)) : location.source->className;
-    d.path = std::move(path);
+        location.source->className.empty() ? std::string(firstPart(d.path)) : location.source->className;
     return d;
   }
 
--- a/src/route/router.hpp
+++ b/src/route/router.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -26,6 +27,11 @@
 };
 
 struct Decision {
+  struct Counted {         // a request counts in a zone under a key
+    std::size_t zone = 0;  // into Routes::rateZones or Routes::connectionZones
+    std::string key;
+    std::uint32_t most = 0;  // the burst, or how many may be under way
+  };
   enum class Kind {
     proxy,   // to `pool`, as `uri`
     answer,  // with `status`, by the route itself
@@ -44,6 +50,8 @@
   std::string uri;        // proxy: the same on the wire, with its query
   std::string className;  // proxy: the location's, or the first part of `path`
   std::vector<std::pair<std::string, std::string>> headers;  // proxy: to set; an empty value: to leave out
+  std::vector<Counted> rates,
+      connections;  // proxy: by the location's limits; without those whose key is empty
 };
 
 class Router {
--- a/tests/app/gateway_test.cpp
+++ b/tests/app/gateway_test.cpp
@@ -79,6 +79,49 @@
 
 const char* const kNotRun = "X-Not-Run: 1\r\n";
 
+// --- One path, one host -----------------------------------------------------------------------------------
+
+TEST_F(GatewayTest, TheClassIsThatOfTheCanonicalPathAndTheHostIsSentThatPath) {
+  std::vector<std::string> targets;
+  addHost("a", [&](PeerConnection& c, std::size_t) {
+    targets.push_back(c.request.target().to_string());
+    c.reply(answerText(200, "", "x"));
+  });
+  start();
+  const auto get = [&](const std::string& target) {
+    return ask("GET " + target + " HTTP/1.1\r\nHost: x\r\nX-Request-Id: p" + std::to_string(++serial) +
+               "\r\n\r\n")
+        .result_int();
+  };
+  EXPECT_EQ(get("/read/%2e%2e/write"), 405u);  // it is a write, which no GET asks for
+  EXPECT_EQ(get("/read/../write"), 405u);
+  EXPECT_EQ(get("/write/../read/a//b/./%63?d=%2f"), 200u);
+  EXPECT_EQ(get("/read/a%20b?"), 200u);
+  for (const char* bad :
+       {"/read/a%2fb", "/read/../../read", "/read/%zz", "/read\\a", "/read/%00", "/read/%2541"})
+    EXPECT_EQ(get(bad), 400u) << bad;
+  EXPECT_EQ(targets, (std::vector<std::string>{"/read/a/b/c?d=%2f", "/read/a%20b?"}));
+}
+
+TEST_F(GatewayTest, ARequestSaysItsHostOnce) {
+  addHost("a", always(answerText(200, "", "x")));
+  start();
+  const auto get = [&](const std::string& version, const std::string& host) {
+    return ask("GET /read HTTP/" + version + "\r\n" + host + "X-Request-Id: h" + std::to_string(++serial) +
+               "\r\n\r\n")
+        .result_int();
+  };
+  EXPECT_EQ(get("1.1", ""), 400u);
+  EXPECT_EQ(get("1.1", "Host: a\r\nHost: a\r\n"), 400u);
+  EXPECT_EQ(get("1.1", "Host: a b\r\n"), 400u);
+  EXPECT_EQ(get("1.1", "Host: u@a\r\n"), 400u);
+  EXPECT_EQ(get("1.0", "Host: a\r\nHost: b\r\n"), 400u);
+  EXPECT_EQ(get("1.1", "Host: a:80\r\n"), 200u);
+  EXPECT_EQ(get("1.1", "Host:\r\n"), 200u);
+  EXPECT_EQ(get("1.0", ""), 200u);
+  EXPECT_EQ(reached.size(), 3u);
+}
+
 // --- What goes through ----------------------------------------------------------------------------------
 
 TEST_F(GatewayTest, PassesTheRequestAndTheAnswerUnchanged) {
@@ -390,7 +433,8 @@
 
 TEST_F(GatewayTest, KeyedWithoutItsKeyIsNotTaken) {
   twoHosts(always(answerText(200, "", "x")));
-  EXPECT_EQ(ask("POST /put HTTP/1.1\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n").result_int(), 400u);
+  EXPECT_EQ(ask("POST /put HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n").result_int(),
+            400u);
   EXPECT_TRUE(reached.empty());
 }
 
@@ -457,12 +501,12 @@
 TEST_F(GatewayTest, BadInputIsAnsweredAndServiceGoesOn) {
   twoHosts(always(answerText(200, "", "ok")));
   EXPECT_EQ(ask("nonsense\r\n\r\n").result_int(), 400u);
-  EXPECT_EQ(ask("GET /read HTTP/1.1\r\nX-Class: read\r\n\r\n").result_int(), 400u) << "no id";
+  EXPECT_EQ(ask("GET /read HTTP/1.1\r\nHost: x\r\nX-Class: read\r\n\r\n").result_int(), 400u) << "no id";
   EXPECT_EQ(ask(text("read", "X-Deadline-Ms: soon\r\n")).result_int(), 400u);
-  EXPECT_EQ(ask("GET /other HTTP/1.1\r\nX-Request-Id: r\r\n\r\n").result_int(), 404u);
-  EXPECT_EQ(ask("GET /alive HTTP/1.1\r\n\r\n").result_int(), 404u);
-  EXPECT_EQ(ask("GET /write HTTP/1.1\r\nX-Request-Id: r\r\n\r\n").result_int(), 405u);
-  EXPECT_EQ(ask("POST /write HTTP/1.1\r\nX-Request-Id: r\r\nContent-Length: " +
+  EXPECT_EQ(ask("GET /other HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\n\r\n").result_int(), 404u);
+  EXPECT_EQ(ask("GET /alive HTTP/1.1\r\nHost: x\r\n\r\n").result_int(), 404u);
+  EXPECT_EQ(ask("GET /write HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\n\r\n").result_int(), 405u);
+  EXPECT_EQ(ask("POST /write HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\nContent-Length: " +
                 std::to_string(kBodyMost + 1) + "\r\n\r\n")
                 .result_int(),
             413u);
@@ -473,7 +517,7 @@
 
 TEST_F(GatewayTest, AChunkHeadWithoutEndIsTooLargeAndEndsNothingElse) {
   twoHosts(always(answerText(200, "", "ok")));
-  EXPECT_EQ(ask("POST /write HTTP/1.1\r\nX-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n5;" +
+  EXPECT_EQ(ask("POST /write HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n5;" +
                 std::string(400'000, 'x'))
                 .result_int(),
             413u);
@@ -504,8 +548,8 @@
 
 TEST_F(GatewayTest, WhereAMessageEndsMayNotBeInDoubt) {
   twoHosts(always(answerText(200, "", "ok")));
-  const std::string post = "POST /write HTTP/1.1\r\nX-Request-Id: r\r\n";
-  const std::string hidden = "GET /read HTTP/1.1\r\nX-Request-Id: hidden\r\n\r\n";
+  const std::string post = "POST /write HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\n";
+  const std::string hidden = "GET /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: hidden\r\n\r\n";
   const std::string coded = "Transfer-Encoding: chunked\r\n";
   for (const std::string& bad :
        {post + "Content-Length: 4\r\n" + coded + "\r\n0\r\n\r\n" + hidden,
@@ -527,7 +571,7 @@
         post + "X: a\rb\r\n\r\n" + hidden,
         post + "no colon\r\n\r\n" + hidden,
         post + coded + "\r\nzz\r\nab\r\n0\r\n\r\n" + hidden,
-        std::string("GET  /read HTTP/1.1\r\nX-Request-Id: r\r\n\r\n"),
+        std::string("GET  /read HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\n\r\n"),
         std::string("GET /read HTTP/2.0\r\nX-Request-Id: r\r\n\r\n"),
         post + "X-Request-Id: s\r\nContent-Length: 0\r\n\r\n" + hidden,
         std::string("POST /write HTTP/1.0\r\nX-Request-Id: r\r\n") + coded + "\r\n0\r\n\r\n" + hidden}) {
@@ -544,7 +588,7 @@
   twoHosts(always(answerText(200, "", "ok")));
   auto c = client();
   const std::size_t before = gateway->connections();
-  c->send("POST /write HTTP/1.1\r\nX-Request-Id: r\r\nContent-Length: 60000000\r\n\r\n" +
+  c->send("POST /write HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\nContent-Length: 60000000\r\n\r\n" +
           std::string(60'000'000, 'x'));
   EXPECT_TRUE(until([&] { return gateway->connections() < before + 1 && c->closedByPeer; }));
   EXPECT_TRUE(c->answers.empty() || c->answers[0].result_int() == 413u);
@@ -554,7 +598,7 @@
   waits.clients.bodyBytes = 64 << 10;
   twoHosts(always(answerText(200, "", "ok")));
   auto slow = client();
-  slow->send("POST /write HTTP/1.1\r\nX-Request-Id: slow\r\nContent-Length: 60000\r\n\r\n" +
+  slow->send("POST /write HTTP/1.1\r\nHost: x\r\nX-Request-Id: slow\r\nContent-Length: 60000\r\n\r\n" +
              std::string(59000, 'x'));
   const std::string large = text("write", "", std::string(10000, 'x'));
   ASSERT_TRUE(until([&] { return ask(large).result_int() == 503u; }));  // as soon as the first is read
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -17,12 +17,14 @@
 allow discovery
 allow config discovery route
 allow upstream core
-allow http core upstream
+allow http core route upstream
 allow jsonrpc core discovery upstream
 allow ops
 allow route
 allow import/nginx import route
-allow app core config discovery http import jsonrpc ops route upstream standins
+allow pools route
+allow limits route
+allow app core config discovery http import jsonrpc limits ops pools route upstream standins
 # Beliefs know no protocol, no socket and no clock.
 if grep -nEi 'boost|socket|steady_clock|system_clock' membership/*.?pp | grep -v '//'; then
   echo "src/membership knows more than it should"; bad=1
@@ -31,6 +33,9 @@
 if grep -nEi 'boost|fstream|socket\(|steady_clock|system_clock' route/*.?pp import/nginx/*.?pp | grep -v '//'; then
   echo "src/route or src/import knows more than it should"; bad=1
 fi
+if grep -nEi 'boost|socket\(|steady_clock|system_clock' pools/*.?pp limits/*.?pp | grep -v '//'; then
+  echo "src/pools or src/limits knows more than it should"; bad=1
+fi
 # The core knows no protocol, no socket and no clock.
 if grep -nEi 'boost|http|json|socket|steady_clock|system_clock' core/engine.?pp core/call.hpp | grep -v '//'; then
   echo "src/core knows more than it should"; bad=1
