The shortest time for connecting that a route names holds for its pool, as the report says

Cause, seen on reading the change again: proxy_connect_timeout and keepalive were reported as carried over with a difference, and nothing read them in the running gateway.

Change: the time for connecting of a pool is the shortest that a location of it names. keepalive is reported as kept and not used. An enum and a field that nobody read are gone.

Seen: a pool whose server takes no connection is given up by its own time, where settings and class have ten minutes.

--- a/src/app/pools.cpp
+++ b/src/app/pools.cpp
@@ -26,6 +26,24 @@
   return settings;
 }
 
+// The shortest time for connecting that a location of the pool names, and never longer than the settings have
+// it.
+void shorten(const std::vector<route::Location>& locations, const std::string& pool,
+             ochrehill::Duration& time) {
+  for (const route::Location& location : locations) {
+    if (location.proxy && location.proxy->pool == pool && location.proxy->connectTimeout)
+      time = std::min<ochrehill::Duration>(time, *location.proxy->connectTimeout);
+    shorten(location.nested, pool, time);
+  }
+}
+
+HttpUpstream::Limits poolLimits(HttpUpstream::Limits limits, const route::Pool& pool,
+                                const route::Routes& routes) {
+  for (const route::Server& server : routes.servers)
+    shorten(server.locations, pool.name, limits.connectTimeout);
+  return limits;
+}
+
 asio::ip::tcp::endpoint addressOf(asio::io_context& io, const route::Pool& pool, const std::string& text) {
   const std::size_t colon = text.rfind(':');
   std::string host = text.substr(0, colon), port = colon == std::string::npos ? "80" : text.substr(colon + 1);
@@ -149,7 +167,8 @@
       engines_.push_back(&discovered);
       continue;
     }
-    fixed_.push_back(std::make_unique<FixedPool>(io, pools[i], i, descriptors_, limits,
+    fixed_.push_back(std::make_unique<FixedPool>(io, pools[i], i, descriptors_,
+                                                 poolLimits(limits, pools[i], router_->routes()),
                                                  poolSettings(settings, pools[i], calls), log));
     engines_.push_back(&fixed_.back()->engine());
   }
--- a/src/import/nginx/lowering.cpp
+++ b/src/import/nginx/lowering.cpp
@@ -316,10 +316,9 @@
     }
   } else if (d.name == "proxy_connect_timeout") {
     scope.connectTimeout = time();
-    difference(
-        d,
-        "holds for the whole pool: the shortest that a location of it names, and never longer than the "
-        "settings have it");
+    difference(d,
+               "holds for the whole pool: the shortest that a location of it names, never longer than the "
+               "settings have it");
   } else if (d.name == "proxy_read_timeout") {
     scope.readTimeout = time();
     difference(
--- a/src/import/nginx/upstream.cpp
+++ b/src/import/nginx/upstream.cpp
@@ -54,7 +54,7 @@
       if (!most || *most > 1'000'000)
         throw BadSyntax(d.arguments[0].at, "a number up to 1,000,000 is wanted");
       pool.idleMost = static_cast<std::uint32_t>(*most);
-      difference(d, "counts for the pool here, and the settings' own bound on connections holds beside it");
+      difference(d, "kept in the routes and not used: the settings' own bound on connections holds");
     } else if (const DirectiveRow* row = findRow(d.name); row && row->treatment == Treatment::guard) {
       leaveOut(d, std::string(row->note));
     } else if (row && row->treatment == Treatment::harmless) {
--- a/src/route/routes.hpp
+++ b/src/route/routes.hpp
@@ -49,13 +49,10 @@
   std::vector<Step> then;  // when
 };
 
-enum class RetryOn : std::uint8_t { failed, timeout, status };
-
 struct Proxy {
   std::string pool;  // with variables: the name of a pool
   std::optional<std::string>
       uri;  // replaces the part of the path that the location names; with variables: all
-  std::optional<std::string> method;
   std::vector<std::pair<std::string, std::string>> headers;  // set on the way to the worker; value with
                                                              // variables; an empty value: not sent
   std::optional<std::chrono::milliseconds> connectTimeout;
--- a/tests/app/routes_test.cpp
+++ b/tests/app/routes_test.cpp
@@ -291,6 +291,28 @@
   EXPECT_EQ(tries, 1u);
 }
 
+TEST_F(RoutesTest, TheShortestTimeForConnectingHoldsForThePool) {
+  // Nobody accepts, and the queue of those that wait is full: a new connection does not come up.
+  tcp::acceptor full(io);
+  full.open(tcp::v4());
+  full.bind(loopback());
+  full.listen(0);
+  std::vector<std::unique_ptr<tcp::socket>> waiting;
+  for (int i = 0; i < 4; ++i) {
+    waiting.push_back(std::make_unique<tcp::socket>(io));
+    waiting.back()->async_connect(full.local_endpoint(), [](auto) {});
+  }
+  // By any other time the answer would come after the test has given up.
+  config["settings"]["ceilings"]["connectTimeoutNs"] = 600'000'000'000;
+  for (const char* time : {"aimNs", "giveUpNs"}) config["settings"]["grades"][0][time] = 600'000'000'000;
+  addPool("a", {server(textOf(full.local_endpoint()))});
+  addLocation("/", "a");
+  addLocation("/x/", "a").proxy->connectTimeout = std::chrono::milliseconds(20);
+  start();
+  // It ends by the time for connecting, long before the class's own time: as a refusal, for it never ran.
+  EXPECT_EQ(ask(get("/read")).result_int(), 503u);
+}
+
 TEST_F(RoutesTest, AServerThatHasNoAddressIsSaidAtTheStart) {
   addPool("a", {server("no.such.name.invalid:80")});
   addLocation("/", "a");
