The table of directives says of keepalive what the report says

Cause: its row said "as documented" while the report says that it is kept in the routes and not used.

The test that keeps them the same passes.

--- a/src/import/nginx/directives.cpp
+++ b/src/import/nginx/directives.cpp
@@ -130,7 +130,7 @@
     {"js_content", guard, "it would rewrite paths by rules that can't be read here"},
     {"js_import", harmless, "its variables are not known, and what uses one is left out or answers 501"},
     {"js_set", harmless, "its variables are not known, and what uses one is left out or answers 501"},
-    {"keepalive", lowered, ""},
+    {"keepalive", lowered, "kept in the routes and not used"},
     {"keepalive_disable", harmless, "connections go by the gateway's own bounds on time"},
     {"keepalive_requests", harmless, "idle connections are closed by the time in the settings"},
     {"keepalive_time", harmless, "idle connections are closed by the time in the settings"},
