A SIGHUP leaves the bound on calls of a pool's module as it was

Cause, seen on reading: Pools::configure took the bound from the settings, which have none while JSON-RPC listens, so a SIGHUP took away what the start had set.

No test shows it: the budget across pools, which a SIGHUP never touched, binds first.

--- a/src/app/pools.cpp
+++ b/src/app/pools.cpp
@@ -155,6 +155,7 @@
              const HttpUpstream::Limits& limits, const Settings& settings, std::uint64_t calls,
              std::uint64_t bytes, const std::function<void(std::string)>& log)
     : router_(std::move(router)),
+      callsMost_(calls),
       descriptors_(limits.connections, std::max<std::size_t>(router_->routes().pools.size(), 1)),
       calls_(calls, std::max<std::size_t>(router_->routes().pools.size(), 1)),
       bytes_(bytes, std::max<std::size_t>(router_->routes().pools.size(), 1)),
@@ -209,7 +210,7 @@
   const auto& pools = router_->routes().pools;
   for (std::size_t i = 0, at = 0; i < pools.size(); ++i)
     if (pools[i].source == route::Pool::Source::fixed)
-      fixed_[at++]->engine().configure(poolSettings(settings, pools[i], settings.inflightMost));
+      fixed_[at++]->engine().configure(poolSettings(settings, pools[i], callsMost_));
 }
 
 void Pools::stop() {
--- a/src/app/pools.hpp
+++ b/src/app/pools.hpp
@@ -99,6 +99,7 @@
 
  private:
   std::shared_ptr<const route::Router> router_;
+  std::uint64_t callsMost_;       // under way in all; as at the start
   std::vector<Engine*> engines_;  // by pool
   std::map<std::string, std::size_t, std::less<>> indexOf_;
   pools::Budget descriptors_, calls_, bytes_;
