Duties of the fleet as a state machine with epochs, leases and a fence, and its explorer

Need: work on behalf of the fleet shall have one owner at a time, and an old owner that wakes up late must do no harm.

docs/design/fleet.md weighs the ways and gives the argument. src/duty has the registry on the keepers' log, the choice of whom to grant, the owner's lease counted from before it asked, and the receiver's fence; no I/O and no clock.

--- /dev/null
+++ b/src/duty/registry.hpp
@@ -0,0 +1,148 @@
+// Who owns which duty: the state machine on the keepers' log. Each keeper applies the same commands in the
+// same order and comes to the same state; time comes with the commands.
+//
+// What it promises, whatever is applied:
+//  - a key has at most one owner, and its epoch grows with each change of hands;
+//  - nobody else is granted a key before the log's time has reached the end of the lease of its owner, unless
+//    that owner gave it back;
+//  - a renewal counts only for the epoch in force and the process that was granted it.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "duty/duty.hpp"
+
+namespace cairnjunction::duty {
+
+// Bounds on what members can make the log hold: some kB for each, in every snapshot.
+inline constexpr std::size_t kKeysMost = 1024;  // duties times shards; a fleet has some tens
+inline constexpr std::size_t kMembersMost =
+    4096;  // names ever joined; those that hold nothing are forgotten first
+inline constexpr std::size_t kRecordsMost = 4096;  // failures by member and duty
+inline constexpr std::size_t kNameMost = 128;      // bytes of a name of a member, duty or zone
+inline constexpr Time kLeaseLeast{200}, kLeaseMost{60'000};
+
+// Why a key changed hands, or has no owner.
+enum class Why : std::uint8_t {
+  vacant,    // nobody had it
+  expired,   // its owner was not heard of until its lease ended
+  released,  // its owner gave it back: it stops, or was asked to
+  failed,    // its owner gave it back since it can't do it
+  left       // its owner left the fleet
+};
+std::string_view nameOf(Why why);
+
+struct Holding {
+  Epoch epoch = 0;
+  Member owner;           // no name: nobody
+  Time since{};           // of this epoch,
+  Time until{};           // and end of the lease, by the log's time
+  Why why = Why::vacant;  // this owner has it; without one, why not
+  Sequence sequence = 0;  // of the last order that the owner told when it renewed; orders before it are old
+  bool operator==(const Holding&) const = default;
+  bool heldAt(Time now) const { return !owner.name.empty() && now < until; }
+};
+
+// What a member did with a duty, so that one which fails again and again is passed over.
+struct Record {
+  std::uint32_t failures = 0;  // on end
+  Time passedOverUntil{};
+  bool operator==(const Record&) const = default;
+};
+
+struct Joined {  // a process came under this name; the last one that did has it
+  Member member;
+  std::string zone;
+};
+struct Granted {
+  Key key;
+  Member member;
+  Time lease{};
+};
+struct Renewed {
+  struct Held {
+    Key key;
+    Epoch epoch = 0;
+    Sequence sequence = 0;
+  };
+  Member member;
+  std::vector<Held> held;
+  Time lease{};
+};
+struct Released {
+  Key key;
+  Epoch epoch = 0;
+  Member member;
+  bool failed = false;
+};
+struct Left {
+  Member member;
+};
+using Change = std::variant<Joined, Granted, Renewed, Released, Left>;
+
+struct Command {
+  Time now{};  // the leader's count of the log's time; one that is before the log's is taken as the log's
+  Change change;
+};
+
+enum class Refusal : std::uint8_t {
+  none,
+  held,        // by another one whose lease has not ended
+  notOwner,    // the epoch is over, or somebody else's
+  supplanted,  // another process has joined under this name
+  full,        // a bound above
+  nonsense     // an empty or overlong name, a lease out of range
+};
+std::string_view nameOf(Refusal refusal);
+
+struct Outcome {
+  Refusal refusal = Refusal::none;
+  std::vector<Renewed::Held> held;  // granted or renewed, with the epoch in force; sequence as known
+};
+
+class Registry {
+ public:
+  Outcome apply(const Command& command);
+
+  Time now() const { return now_; }  // of the last command
+  const Holding* find(const Key& key) const;
+  const std::map<Key, Holding>& holdings() const { return holdings_; }
+  Record recordOf(const std::string& member, const std::string& duty) const;
+  // The process that joined last under this name; 0: none.
+  Incarnation incarnationOf(const std::string& member) const;
+  std::size_t held(const Member& member, Time now) const;  // keys that it owns
+  bool operator==(const Registry&) const = default;
+
+  // All of it, and back. restore throws std::invalid_argument on what snapshot didn't write, and then the
+  // registry is as it was.
+  std::string snapshot() const;
+  void restore(std::string_view bytes);
+
+ private:
+  Outcome on(const Joined& joined);
+  Outcome on(const Granted& granted);
+  Outcome on(const Renewed& renewed);
+  Outcome on(const Released& released);
+  Outcome on(const Left& left);
+  void end(const Key& key, Holding& holding, Why why);
+  void note(const std::string& member, const std::string& duty, bool failure);
+  bool makeRoom();
+
+  Time now_{};
+  std::map<Key, Holding> holdings_;
+  std::map<std::string, Incarnation> members_;
+  std::map<std::pair<std::string, std::string>, Record> records_;  // by member and duty
+};
+
+// On the log. decode throws std::invalid_argument.
+std::string encode(const Command& command);
+Command decode(std::string_view bytes);
+
+}  // namespace cairnjunction::duty
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -24,6 +24,7 @@
 allow import/nginx import route
 allow pools route
 allow limits route
+allow duty
 allow app core config discovery http import jsonrpc limits ops pools route upstream standins
 # Beliefs know no protocol, no socket and no clock.
 if grep -nEi 'boost|socket|steady_clock|system_clock' membership/*.?pp | grep -v '//'; then
@@ -36,6 +37,10 @@
 if grep -nEi 'boost|socket\(|steady_clock|system_clock' pools/*.?pp limits/*.?pp | grep -v '//'; then
   echo "src/pools or src/limits knows more than it should"; bad=1
 fi
+# Duties are decided without I/O and without a clock.
+if grep -nEi 'boost|asio|fstream|socket|steady_clock|system_clock' duty/*.?pp | grep -v '//'; then
+  echo "src/duty knows more than it should"; bad=1
+fi
 # The core knows no protocol, no socket and no clock.
 if grep -nEi 'boost|http|json|socket|steady_clock|system_clock' core/engine.?pp core/call.hpp | grep -v '//'; then
   echo "src/core knows more than it should"; bad=1
