Keepers with a replicated durable log, members with links, leases and a fence

Need: one owner at a time for the fleet's work, agreed by a few keepers, over links that fail in named ways.

A keeper's disk has an identity and a count of starts which its peers know, so that a lost disk or an older copy is turned away by name. src/fleet: fleet file in TOML, frames in MessagePack with bounds, links, the keeper's and the member's side, a Unix socket for operators. cairnjunction-keeper is an executable of its own: the gateway links none of the consensus library.

Found on the way: the library keeps `data` of its transport for itself (a crash at the first dial).

Tested with keepers as processes: leaders killed in turn, majority lost, lost, older and damaged disks, foreign members, two of one name, bytes that are no frame.

--- /dev/null
+++ b/src/fleet/boot_clock.hpp
@@ -0,0 +1,17 @@
+// The clock of leases: since the machine booted, sleep included, and never stepped.
+#pragma once
+
+#include <time.h>
+
+#include "duty/duty.hpp"
+
+namespace cairnjunction::fleet {
+
+inline duty::Time bootTime() {
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::duration_cast<duty::Time>(std::chrono::seconds(now.tv_sec) +
+                                                std::chrono::nanoseconds(now.tv_nsec));
+}
+
+}  // namespace cairnjunction::fleet
--- /dev/null
+++ b/src/fleet/frame.cpp
@@ -0,0 +1,153 @@
+// Frames as MessagePack.
+#include "fleet/frame.hpp"
+
+#include <msgpack.hpp>
+
+namespace cairnjunction::fleet {
+namespace {
+
+using duty::Epoch;
+using duty::Key;
+using duty::Member;
+using duty::Sequence;
+
+const msgpack::unpack_limit kLimit(4096, 4096, kFrameMost, kFrameMost, 0, 6);
+
+// Each message as a tuple of plain values, and back. One line for each direction and message.
+using KeyRow = std::tuple<std::string, std::uint32_t>;
+using MarkRow = std::tuple<std::string, std::uint32_t, Epoch, Sequence>;
+using GrantRow = std::tuple<std::string, std::uint32_t, Epoch, Sequence, std::int64_t, std::int64_t>;
+using LostRow = std::tuple<std::string, std::uint32_t, Epoch>;
+
+std::tuple<int, std::string, std::string, duty::Incarnation, std::string, bool> row(const Hello& m) {
+  return {m.protocol, m.fleet, m.member.name, m.member.incarnation, m.zone, m.willing};
+}
+std::tuple<int, std::string, int, std::uint64_t, std::uint64_t> row(const KeeperHello& m) {
+  return {m.protocol, m.fleet, m.number, m.mark.incarnation, m.mark.starts};
+}
+std::tuple<int, std::uint64_t, std::uint64_t, std::string> row(const KeeperAnswer& m) {
+  return {m.number, m.mark.incarnation, m.mark.starts, m.why};
+}
+std::tuple<int, std::uint32_t, std::vector<MarkRow>> row(const Welcome& m) {
+  std::vector<MarkRow> marks;
+  for (const auto& [key, mark] : m.marks) marks.emplace_back(key.duty, key.shard, mark.epoch, mark.sequence);
+  return {m.keeper, m.members, marks};
+}
+std::tuple<int> row(const Elsewhere& m) { return {m.keeper}; }
+std::tuple<std::string> row(const TurnedAway& m) { return {m.why}; }
+std::tuple<std::int64_t, std::vector<MarkRow>> row(const Beat& m) {
+  std::vector<MarkRow> held;
+  for (const auto& h : m.held) held.emplace_back(h.key.duty, h.key.shard, h.epoch, h.sequence);
+  return {m.stamp, held};
+}
+std::tuple<std::uint32_t, std::vector<GrantRow>, std::vector<LostRow>> row(const Pulse& m) {
+  std::vector<GrantRow> granted;
+  for (const Grant& g : m.granted)
+    granted.emplace_back(g.key.duty, g.key.shard, g.epoch, g.sequence, g.askedAt, g.lease);
+  std::vector<LostRow> lost;
+  for (const auto& [key, epoch] : m.lost) lost.emplace_back(key.duty, key.shard, epoch);
+  return {m.members, granted, lost};
+}
+std::tuple<std::string, std::uint32_t, Epoch, bool> row(const GiveBack& m) {
+  return {m.key.duty, m.key.shard, m.epoch, m.failed};
+}
+std::tuple<std::string, std::uint32_t, Epoch> row(const HandOver& m) {
+  return {m.key.duty, m.key.shard, m.epoch};
+}
+std::tuple<std::string, std::uint32_t, Epoch, Sequence, std::string, duty::Incarnation, bool, std::string>
+row(const Order& m) {
+  return {m.id.key.duty,  m.id.key.shard,        m.id.epoch, m.id.sequence,
+          m.id.from.name, m.id.from.incarnation, m.keep,     m.body};
+}
+std::tuple<> row(const Leave&) { return {}; }
+
+template <class T>
+using RowOf = decltype(row(std::declval<T>()));
+
+void fill(Hello& m, RowOf<Hello> r) {
+  std::tie(m.protocol, m.fleet, m.member.name, m.member.incarnation, m.zone, m.willing) = std::move(r);
+}
+void fill(KeeperHello& m, RowOf<KeeperHello> r) {
+  std::tie(m.protocol, m.fleet, m.number, m.mark.incarnation, m.mark.starts) = std::move(r);
+}
+void fill(KeeperAnswer& m, RowOf<KeeperAnswer> r) {
+  std::tie(m.number, m.mark.incarnation, m.mark.starts, m.why) = std::move(r);
+}
+void fill(Welcome& m, RowOf<Welcome> r) {
+  std::vector<MarkRow> marks;
+  std::tie(m.keeper, m.members, marks) = std::move(r);
+  for (auto& [duty, shard, epoch, sequence] : marks) m.marks[{duty, shard}] = {epoch, sequence, {}};
+}
+void fill(Elsewhere& m, RowOf<Elsewhere> r) { std::tie(m.keeper) = r; }
+void fill(TurnedAway& m, RowOf<TurnedAway> r) { std::tie(m.why) = std::move(r); }
+void fill(Beat& m, RowOf<Beat> r) {
+  std::vector<MarkRow> held;
+  std::tie(m.stamp, held) = std::move(r);
+  for (auto& [duty, shard, epoch, sequence] : held) m.held.push_back({{duty, shard}, epoch, sequence});
+}
+void fill(Pulse& m, RowOf<Pulse> r) {
+  std::vector<GrantRow> granted;
+  std::vector<LostRow> lost;
+  std::tie(m.members, granted, lost) = std::move(r);
+  for (auto& [duty, shard, epoch, sequence, askedAt, lease] : granted)
+    m.granted.push_back({{duty, shard}, epoch, sequence, askedAt, lease});
+  for (auto& [duty, shard, epoch] : lost) m.lost.emplace_back(Key{duty, shard}, epoch);
+}
+void fill(GiveBack& m, RowOf<GiveBack> r) {
+  std::tie(m.key.duty, m.key.shard, m.epoch, m.failed) = std::move(r);
+}
+void fill(HandOver& m, RowOf<HandOver> r) { std::tie(m.key.duty, m.key.shard, m.epoch) = std::move(r); }
+void fill(Order& m, RowOf<Order> r) {
+  std::tie(m.id.key.duty, m.id.key.shard, m.id.epoch, m.id.sequence, m.id.from.name, m.id.from.incarnation,
+           m.keep, m.body) = std::move(r);
+}
+
+template <std::size_t I = 0>
+Message read(std::size_t kind, const msgpack::object& values) {
+  if constexpr (I < std::variant_size_v<Message>) {
+    if (kind != I) return read<I + 1>(kind, values);
+    using T = std::variant_alternative_t<I, Message>;
+    T message;
+    // Danger: a tuple that is too short would leave values as they were.
+    if (values.type != msgpack::type::ARRAY || values.via.array.size != std::tuple_size_v<RowOf<T>>)
+      throw BadFrame("a message of kind " + std::to_string(kind) + " has another number of values");
+    if constexpr (std::tuple_size_v < RowOf < T >>> 0) fill(message, values.as<RowOf<T>>());
+    return message;
+  } else {
+    throw BadFrame("a message of unknown kind " + std::to_string(kind));
+  }
+}
+
+}  // namespace
+
+Bytes encode(const Message& message) {
+  msgpack::sbuffer out;
+  out.write("\0\0\0\0", 4);
+  msgpack::packer<msgpack::sbuffer> packer(out);
+  packer.pack_array(2);
+  packer.pack(static_cast<std::uint32_t>(message.index()));
+  std::visit([&packer](const auto& m) { packer.pack(row(m)); }, message);
+  const std::size_t size = out.size() - 4;
+  if (size > kFrameMost) throw BadFrame("a frame of " + std::to_string(size) + " bytes");
+  auto bytes = std::make_shared<std::string>(out.data(), out.size());
+  for (int i = 0; i < 4; ++i) (*bytes)[static_cast<std::size_t>(i)] = static_cast<char>(size >> (24 - 8 * i));
+  return bytes;
+}
+
+Message decode(std::string_view payload) {
+  try {
+    std::size_t end = 0;
+    const msgpack::object_handle handle =
+        msgpack::unpack(payload.data(), payload.size(), end, nullptr, nullptr, kLimit);
+    const msgpack::object& object = handle.get();
+    if (end != payload.size() || object.type != msgpack::type::ARRAY || object.via.array.size != 2)
+      throw BadFrame("a frame that is no pair of kind and values");
+    return read(object.via.array.ptr[0].as<std::uint32_t>(), object.via.array.ptr[1]);
+  } catch (const msgpack::unpack_error& bad) {
+    throw BadFrame(std::string("a frame that can't be read: ") + bad.what());
+  } catch (const msgpack::type_error& bad) {
+    throw BadFrame(std::string("a value of another type: ") + bad.what());
+  }
+}
+
+}  // namespace cairnjunction::fleet
--- /dev/null
+++ b/src/fleet/member.cpp
@@ -0,0 +1,306 @@
+// A member's side of the fleet.
+#include "fleet/member.hpp"
+
+#include <algorithm>
+
+#include "fleet/boot_clock.hpp"
+
+namespace cairnjunction::fleet {
+namespace {
+
+using boost::system::error_code;
+using duty::Key;
+using duty::Time;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+json keyJson(const Key& key, duty::Epoch epoch) {
+  return {{"duty", key.duty}, {"shard", key.shard}, {"epoch", epoch}};
+}
+
+std::uint64_t drawnSeed() {
+  std::random_device random;
+  return static_cast<std::uint64_t>(random()) << 32 | random();
+}
+
+}  // namespace
+
+Member::Member(boost::asio::io_context& io, const Settings& settings, const std::string& name, Events events,
+               Journal& journal)
+    : io_(io),
+      settings_(settings),
+      self_{name, drawnSeed() >> 1 | 1},
+      events_(std::move(events)),
+      journal_(journal),
+      file_(settings.disk),
+      dialTimer_(io),
+      beatTimer_(io),
+      tenureTimer_(io),
+      aloneTimer_(io),
+      leaveTimer_(io),
+      random_(drawnSeed()),
+      members_(settings.members) {
+  std::map<Key, duty::Fence::Mark> marks;
+  // What the disk knows is learned before the first order. Whoever has no disk waits for the keepers' word.
+  if (file_.read(marks)) fence_.learn(marks);
+  nextKeeper_ = random_() % settings_.keepers.size();
+  heardAt_ = bootTime();
+  watchAlone();
+  dial();
+}
+
+Member::~Member() {
+  if (link_) link_->drop();
+}
+
+milliseconds Member::drawn(milliseconds least, milliseconds most) {
+  return milliseconds(
+      std::uniform_int_distribution<std::int64_t>(least.count(), std::max(least, most).count())(random_));
+}
+
+// --- The link ---------------------------------------------------------------------------------------------
+
+void Member::dial() {
+  const KeeperAddress* to = hinted_ ? settings_.keeper(hinted_) : nullptr;
+  hinted_ = 0;
+  if (!to) to = &settings_.keepers[nextKeeper_++ % settings_.keepers.size()];
+  dialling_ = to->number;
+  Link::Limits limits;
+  limits.silent = settings_.aloneAfter;
+  link_ =
+      Link::dial(io_, to->address, limits,
+                 {[this] {
+                    link_->send(Hello{kProtocol, settings_.fleet, self_, settings_.zone, settings_.willing});
+                  },
+                  [this](const Message& message) { heard(message); },
+                  [this](LinkEnd end, const std::string& why) { ended(end, why); }});
+}
+
+void Member::dialLater(milliseconds most) {
+  dialTimer_.expires_after(drawn(most / 2, most));
+  dialTimer_.async_wait(lifetime_.guard([this](error_code ec) {
+    if (!ec && !leaving_) dial();
+  }));
+}
+
+void Member::ended(LinkEnd end, const std::string& why) {
+  const bool had = std::exchange(joined_, false);
+  beatTimer_.cancel();
+  link_ = nullptr;
+  const std::string text = std::string(nameOf(end)) + (why.empty() ? "" : ": " + why);
+  if (had || text != lastEnd_) journal_.line("link-ended", {{"keeper", dialling_}, {"end", text}});
+  lastEnd_ = text;
+  if (leaving_) {
+    if (left_) std::exchange(left_, nullptr)();
+    return;
+  }
+  if (had) {
+    failures_ = 0;
+    return dialLater(kSpread);
+  }
+  // A hint is followed soon; without one the next keeper is tried, ever later.
+  ++failures_;
+  const milliseconds wait = std::min(kDialFirst * (1 << std::min(failures_ / 2, 10)), kDialLast);
+  dialLater(end == LinkEnd::turnedAway ? kDialLast : wait);
+}
+
+void Member::heard(const Message& message) {
+  if (const auto* welcome = std::get_if<Welcome>(&message)) on(*welcome);
+  else if (const auto* pulse = std::get_if<Pulse>(&message)) on(*pulse);
+  else if (const auto* order = std::get_if<Order>(&message)) on(*order);
+  else if (const auto* word = std::get_if<HandOver>(&message)) on(*word);
+  else if (const auto* moved = std::get_if<Elsewhere>(&message)) {
+    if (moved->keeper != dialling_) hinted_ = moved->keeper;
+    link_->close(LinkEnd::moved);
+  } else if (const auto* away = std::get_if<TurnedAway>(&message)) {
+    link_->close(LinkEnd::turnedAway, away->why);
+  } else {
+    link_->close(LinkEnd::badFrame, "a member's word from a keeper");
+  }
+}
+
+void Member::on(const Welcome& welcome) {
+  joined_ = true;
+  failures_ = 0;
+  members_ = std::max<std::uint32_t>(welcome.members, 1);
+  fence_.learn(welcome.marks);
+  journal_.line("joined", {{"keeper", welcome.keeper}, {"incarnation", self_.incarnation}});
+  heardKeeper();
+  beat();
+  events_.joined();
+}
+
+// --- Alone or not -----------------------------------------------------------------------------------------
+
+void Member::heardKeeper() {
+  heardAt_ = bootTime();
+  if (!std::exchange(alone_, false)) return;
+  journal_.line("heard-again");
+  events_.alone();
+}
+
+void Member::watchAlone() {
+  aloneTimer_.expires_after(std::max(heardAt_ + settings_.aloneAfter - bootTime(), Time(10)));
+  aloneTimer_.async_wait(lifetime_.guard([this](error_code ec) {
+    if (ec) return;
+    if (!alone_ && bootTime() >= heardAt_ + settings_.aloneAfter) {
+      alone_ = true;
+      journal_.line("alone", {{"last_end", lastEnd_}});
+      events_.alone();
+    }
+    if (alone_) heardAt_ = bootTime();  // nothing to tell until it is heard again
+    watchAlone();
+  }));
+}
+
+// --- What it owns -----------------------------------------------------------------------------------------
+
+void Member::beat() {
+  if (!joined_ || !link_) return;
+  // Before the question is written: the lease counts from here.
+  const Time now = bootTime();
+  Beat word{now.count(), {}};
+  for (const auto& [key, tenure] : tenures_)
+    if (tenure.mayAct(now)) word.held.push_back({key, tenure.epoch(), tenure.sequence()});
+  link_->send(word);
+  beatAt(now + settings_.beat);
+}
+
+void Member::beatAt(Time at) {
+  beatTimer_.expires_after(std::max(at - bootTime(), Time(0)));
+  beatTimer_.async_wait(lifetime_.guard([this](error_code ec) {
+    if (!ec) beat();
+  }));
+}
+
+void Member::on(const Pulse& pulse) {
+  if (!joined_) return;
+  members_ = std::max<std::uint32_t>(pulse.members, 1);
+  heardKeeper();
+  for (const auto& [key, epoch] : pulse.lost) lost(key, epoch, "taken away");
+  for (const Grant& grant : pulse.granted) granted(grant);
+  watchTenures();
+}
+
+void Member::granted(const Grant& grant) {
+  if (leaving_) return;
+  duty::Tenure& tenure = tenures_[grant.key];
+  const duty::Epoch before = tenure.epoch();
+  tenure.granted(grant.epoch, grant.sequence, Time(grant.askedAt), Time(grant.lease));
+  if (!tenure.mayAct(bootTime()) || tenure.epoch() != grant.epoch) return;
+  if (active_.count(grant.key) && active_[grant.key] != grant.epoch)
+    lost(grant.key, active_[grant.key], "older");
+  if (grant.epoch == before || active_.count(grant.key)) return;
+  active_[grant.key] = grant.epoch;
+  journal_.line("duty-begun", keyJson(grant.key, grant.epoch));
+  beatAt(bootTime());  // its lease counts from a beat of some time ago
+  events_.duty(grant.key, true);
+}
+
+void Member::lost(const Key& key, duty::Epoch epoch, const char* why) {
+  const auto it = active_.find(key);
+  if (it == active_.end() || it->second != epoch) return;
+  if (tenures_[key].epoch() == epoch) tenures_[key].end();
+  active_.erase(it);
+  json fields = keyJson(key, epoch);
+  fields["why"] = why;
+  journal_.line("duty-ended", fields);
+  events_.duty(key, false);
+}
+
+// A lease that nobody renewed ends here by this member's own clock, whether or not anything is heard.
+void Member::watchTenures() {
+  Time next = Time::max();
+  for (const auto& [key, epoch] : active_) next = std::min(next, tenures_[key].until());
+  if (next == Time::max()) return;
+  tenureTimer_.expires_after(std::max(next - bootTime(), Time(0)));
+  tenureTimer_.async_wait(lifetime_.guard([this](error_code ec) {
+    if (ec) return;
+    const Time now = bootTime();
+    for (const auto& [key, epoch] : std::map<Key, duty::Epoch>(active_))
+      if (!tenures_[key].mayAct(now)) lost(key, epoch, "its lease ended");
+    watchTenures();
+  }));
+}
+
+bool Member::owns(const Key& key) const {
+  const auto it = tenures_.find(key);
+  return it != tenures_.end() && it->second.mayAct(bootTime());
+}
+
+void Member::giveBack(const Key& key, bool failed) {
+  const auto it = active_.find(key);
+  if (it == active_.end()) return;
+  const duty::Epoch epoch = it->second;
+  // Ended here first, so that nothing is sent under it once the keeper may grant it.
+  lost(key, epoch, failed ? "given back: it can't be done here" : "given back");
+  if (link_ && joined_) link_->send(GiveBack{key, epoch, failed});
+}
+
+void Member::on(const HandOver& word) {
+  const auto it = active_.find(word.key);
+  if (it != active_.end() && it->second == word.epoch) giveBack(word.key, false);
+}
+
+void Member::leave(std::function<void()> done) {
+  if (leaving_) return;
+  leaving_ = true;
+  dialTimer_.cancel();
+  for (const auto& [key, epoch] : std::map<Key, duty::Epoch>(active_)) lost(key, epoch, "it stops");
+  if (!link_ || !joined_) {
+    if (link_) link_->drop();
+    link_ = nullptr;
+    return done();
+  }
+  left_ = std::move(done);
+  link_->send(Leave{});
+  leaveTimer_.expires_after(kLeaveMost);
+  leaveTimer_.async_wait(lifetime_.guard([this](error_code ec) {
+    if (!ec && left_) std::exchange(left_, nullptr)();
+  }));
+}
+
+// --- Orders -----------------------------------------------------------------------------------------------
+
+// Danger: the mark is on the disk before the effect, or there is no effect.
+duty::Verdict Member::admit(const duty::OrderId& id) {
+  duty::Fence next = fence_;
+  const duty::Verdict verdict = next.admit(id);
+  if (verdict == duty::Verdict::taken && !file_.write(next.marks())) {
+    if (std::exchange(tellsDisk_, false)) journal_.order("order-not-taken", id, {{"why", "the disk failed"}});
+    return duty::Verdict::unready;
+  }
+  if (verdict == duty::Verdict::taken) tellsDisk_ = true;
+  fence_ = std::move(next);
+  return verdict;
+}
+
+bool Member::order(const Key& key, std::string body, bool keep) {
+  if (!joined_ || !link_ || !active_.count(key)) return false;
+  const auto id = tenures_[key].order(key, self_, bootTime());
+  if (!id || admit(*id) != duty::Verdict::taken) return false;
+  const Order order{*id, keep, std::move(body)};
+  journal_.order("order-sent", *id);
+  link_->send(order);
+  journal_.order("order-taken", *id);
+  events_.order(order);
+  return true;
+}
+
+void Member::on(const Order& order) {
+  const duty::Verdict verdict = admit(order.id);
+  if (verdict == duty::Verdict::taken) {
+    journal_.order("order-taken", order.id);
+    return events_.order(order);
+  }
+  // The last one again: it is given to whoever joins anew.
+  const auto mark = fence_.marks().find(order.id.key);
+  const bool seen = mark != fence_.marks().end();
+  if (seen && mark->second.epoch == order.id.epoch && mark->second.sequence == order.id.sequence) return;
+  const bool room = toldRefused_.count(order.id.key) || toldRefused_.size() < duty::Fence::kKeysMost;
+  if (!room || std::exchange(toldRefused_[order.id.key], order.id.epoch) == order.id.epoch) return;
+  journal_.order("order-refused", order.id,
+                 {{"why", duty::nameOf(verdict)}, {"seen_epoch", seen ? mark->second.epoch : 0}});
+}
+
+}  // namespace cairnjunction::fleet
--- /dev/null
+++ b/tests/fleet/rig.hpp
@@ -0,0 +1,140 @@
+// Keepers as processes and members of the test's own, on loopback. A test waits for what it expects.
+#pragma once
+
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "fleet/control.hpp"
+#include "fleet/member.hpp"
+#include "net_peers.hpp"
+
+namespace cairnjunction::testing {
+
+inline std::string keeperProgram;  // set once, by main
+
+class KeeperProcess {
+ public:
+  KeeperProcess(const std::string& file, int number, const std::string& folder) {
+    std::vector<std::string> words{keeperProgram, file,    "--number",      std::to_string(number), "--dir",
+                                   folder,        "--log", folder + ".log", "--snapshot-every",     "64"};
+    std::vector<char*> argv;
+    for (std::string& word : words) argv.push_back(word.data());
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 2, (folder + ".err").c_str(), O_WRONLY | O_CREAT | O_TRUNC,
+                                     0600);
+    EXPECT_EQ(posix_spawn(&pid_, keeperProgram.c_str(), &actions, nullptr, argv.data(), environ), 0);
+    posix_spawn_file_actions_destroy(&actions);
+  }
+  ~KeeperProcess() { end(SIGKILL); }
+  void signal(int which) { ::kill(pid_, which); }
+  int end(int which) {
+    if (pid_ <= 0) return -1;
+    if (which) ::kill(pid_, which);
+    int status = 0;
+    ::waitpid(pid_, &status, 0);
+    pid_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+  int exitCode() { return end(0); }  // waits for its own end
+
+ private:
+  pid_t pid_ = 0;
+};
+
+class FleetTest : public LoopTest {
+ protected:
+  const std::string dir = ::testing::TempDir() + "fleet_" + std::to_string(::getpid()) + "/";
+  std::vector<unsigned short> ports;
+  std::map<int, std::unique_ptr<KeeperProcess>> keepers;
+  std::vector<std::unique_ptr<fleet::Journal>> journals;  // outlive the members that write them
+  struct Seen {
+    std::set<duty::Key> owns;
+    std::vector<fleet::Order> orders;
+    int begun = 0;
+  };
+  std::map<std::string, Seen> seen;
+  std::map<std::string, std::unique_ptr<fleet::Member>> members;
+  const duty::Key list{"list", 0};
+
+  void SetUp() override {
+    std::filesystem::create_directories(dir);
+    std::vector<std::unique_ptr<tcp::acceptor>> held;
+    for (int i = 0; i < 6; ++i) {
+      held.push_back(std::make_unique<tcp::acceptor>(io, loopback()));
+      ports.push_back(held.back()->local_endpoint().port());
+    }
+  }
+  void TearDown() override {
+    members.clear();
+    keepers.clear();
+    if (!HasFailure()) std::filesystem::remove_all(dir);
+  }
+  std::string fileText(const std::string& fleet = "yard") const {
+    std::string text = "fleet = \"" + fleet +
+                       "\"\nbeat_ms = 200\nalone_after_ms = 800\nsettle_ms = 200\nelection_ms = 200\n";
+    for (std::size_t i = 0; i < 3; ++i)
+      text += "[[keeper]]\nnumber = " + std::to_string(i + 1) +
+              "\naddress = \"127.0.0.1:" + std::to_string(ports[i]) +
+              "\"\nraft = \"127.0.0.1:" + std::to_string(ports[3 + i]) + "\"\n";
+    return text +
+           "[[duty]]\nname = \"list\"\nlease_ms = 800\n[[duty]]\nname = \"probe\"\nshards = 6\nlease_ms = "
+           "800\n";
+  }
+  std::string folder(int number) const { return dir + "k" + std::to_string(number); }
+  void startKeeper(int number) {
+    std::ofstream(dir + "fleet.toml") << fileText();
+    std::filesystem::create_directories(folder(number));
+    keepers[number] = std::make_unique<KeeperProcess>(dir + "fleet.toml", number, folder(number));
+  }
+  void startKeepers() {
+    for (int i = 1; i <= 3; ++i) startKeeper(i);
+  }
+  fleet::Member& join(const std::string& name, const std::string& extra = "",
+                      const std::string& fleet = "yard") {
+    const fleet::Settings settings = fleet::parseSettings(fileText(fleet) + extra, "test");
+    const auto& journal =
+        journals.emplace_back(std::make_unique<fleet::Journal>(dir + name + ".log", "member", name));
+    Seen& s = seen[name] = {};
+    fleet::Member::Events events;
+    events.duty = [&s](const duty::Key& key, bool owns) {
+      if (owns) s.owns.insert(key), ++s.begun;
+      else s.owns.erase(key);
+    };
+    events.order = [&s](const fleet::Order& order) { s.orders.push_back(order); };
+    members[name] = std::make_unique<fleet::Member>(io, settings, name, events, *journal);
+    return *members[name];
+  }
+  std::string owner(const duty::Key& key) const {  // as members see it; empty: none of ours
+    for (const auto& [name, member] : members)
+      if (seen.at(name).owns.count(key) && member->owns(key)) return name;
+    return {};
+  }
+  int leader() const {
+    for (const auto& [number, keeper] : keepers) try {
+        if (fleet::askControl(folder(number) + "/control.sock", {{"ask", "status"}})["leads"]) return number;
+      } catch (const std::runtime_error&) {  // it is not there
+      }
+    return 0;
+  }
+  std::string text(const std::string& path) const {
+    std::ifstream file(path);
+    std::ostringstream all;
+    all << file.rdbuf();
+    return all.str();
+  }
+};
+
+}  // namespace cairnjunction::testing
