--- a/src/agreement/raft_log.cpp
+++ b/src/agreement/raft_log.cpp
@@ -29,6 +29,10 @@
   return buffer;
 }
 
+// The first entry of the log names all keepers with an address, and must be the same at each; where each reaches the
+// others is its own matter, so this one only has an address's form.
+std::string nameOnTheLog(int number) { return "127.0.0.1:" + std::to_string(number); }
+
 struct Proposal {
   struct raft_apply request {};
   Log::Done done;
@@ -128,8 +132,8 @@
       raft_free(buffer->base);  // ours once it is taken
       return 0;
     };
-    const std::string& address = options.keepers.at(options.number);
-    if (const int bad = raft_init(&raft_, &disk, &fsm, static_cast<raft_id>(options.number), address.c_str()))
+    const std::string own = nameOnTheLog(options.number);
+    if (const int bad = raft_init(&raft_, &disk, &fsm, static_cast<raft_id>(options.number), own.c_str()))
       failed("not begun", bad);
     closed = closing = false;
     raft_set_election_timeout(&raft_, static_cast<unsigned>(options.election.count()));
@@ -141,7 +145,8 @@
     raft_configuration_init(&voters);
     int bad = 0;
     for (const auto& [number, at] : options.keepers)
-      if (!bad) bad = raft_configuration_add(&voters, static_cast<raft_id>(number), at.c_str(), RAFT_VOTER);
+      if (!bad)
+        bad = raft_configuration_add(&voters, static_cast<raft_id>(number), nameOnTheLog(number).c_str(), RAFT_VOTER);
     if (!bad) bad = raft_bootstrap(&raft_, &voters);
     raft_configuration_close(&voters);
     if (bad && bad != RAFT_CANTBOOTSTRAP) failed("not set up", bad);
--- /dev/null
+++ b/src/app/fleet.cpp
@@ -0,0 +1,181 @@
+// A gateway's part in the fleet.
+#include "app/fleet.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "fleet/boot_clock.hpp"
+
+namespace cairnjunction {
+namespace {
+
+using boost::system::error_code;
+using fleet::bootTime;
+using nlohmann::json;
+
+const duty::Key kList{kListDuty, 0}, kStandby{kStandbyDuty, 0};
+
+std::string textOf(const boost::asio::ip::tcp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+}  // namespace
+
+FleetLists::FleetLists(boost::asio::io_context& io, const fleet::Settings& settings, const std::string& name,
+                       Discovery& discovery, const boost::asio::ip::tcp::endpoint& source,
+                       const std::optional<HostList>& known, Callbacks callbacks)
+    : io_(io),
+      discovery_(discovery),
+      callbacks_(std::move(callbacks)),
+      journal_(settings.log, "member", name),
+      source_(textOf(source)),
+      timer_(io) {
+  gate_.configure(source_);
+  if (known) {
+    held_ = *known;
+    gate_.take({source_, known->version, false});
+  }
+  fleet::Member::Events events;
+  events.duty = [this](const duty::Key& key, bool owns) { dutyChanged(key, owns); };
+  events.order = [this](const fleet::Order& order) { ordered(order); };
+  events.joined = [this] { hand(); };  // to a keeper that does not know the list yet
+  events.alone = [this] { aloneChanged(); };
+  member_ = std::make_unique<fleet::Member>(io_, settings, name, std::move(events), journal_);
+}
+
+// --- Who asks discovery -----------------------------------------------------------------------------------
+
+bool FleetLists::asks() const { return asking_.asks(bootTime()); }
+
+void FleetLists::dutyChanged(const duty::Key& key, bool owns) {
+  if (key != kList && key != kStandby) return;
+  // The heir has become the owner; another one is to stand by.
+  if (key == kList && owns && member_->owns(kStandby)) member_->giveBack(kStandby, false);
+  asking_.onDuty(member_->owns(kList) || member_->owns(kStandby));
+  failingSince_.reset();
+  decide();
+  if (key == kList && owns) hand();
+}
+
+void FleetLists::aloneChanged() {
+  asking_.onAlone(member_->alone(), bootTime(), member_->members(), !held_.hosts.empty(),
+                  std::uniform_real_distribution<double>(0, 1)(random_));
+  decide();
+}
+
+// Danger: a watch that goes on beside the owner's lists is only load, but one that is stopped before a list
+// came would leave the gateway with nobody to hear from; so it is stopped when an order is taken (ordered()).
+void FleetLists::decide() {
+  if (asks()) {
+    if (std::exchange(watching_, true)) return;
+    if (gate_.held() && gate_.held()->source == source_) discovery_.knows(held_.version);
+    return discovery_.watch();
+  }
+  if (const auto at = asking_.at()) {
+    timer_.expires_after(std::max(*at - bootTime(), duty::Time(1)));
+    timer_.async_wait(lifetime_.guard([this](error_code ec) {
+      if (!ec) decide();
+    }));
+  }
+}
+
+void FleetLists::subscribe() {
+  if (!asks()) return;
+  watching_ = true;
+  discovery_.watch();
+}
+
+void FleetLists::doubted() {
+  if (asks()) discovery_.askBeside();
+}
+
+void FleetLists::moveTo(const boost::asio::ip::tcp::endpoint& source) {
+  source_ = textOf(source);
+  gate_.configure(source_);
+  discovery_.moveTo(source);  // one call; the owner goes on from there, the others are told by it
+}
+
+void FleetLists::discoveryFailed() {
+  if (!failingSince_) failingSince_ = bootTime();
+  if (bootTime() - *failingSince_ < kFailMost) return;
+  for (const duty::Key& key : {kList, kStandby})
+    if (member_->owns(key)) member_->giveBack(key, true);
+}
+
+// --- Lists
+// --------------------------------------------------------------------------------------------------
+
+void FleetLists::merge(const HostList& list) {
+  if (list.full) {
+    held_ = list;
+    return;
+  }
+  held_.version = list.version;
+  for (const ListedHost& host : list.hosts) {
+    const auto known = std::find_if(held_.hosts.begin(), held_.hosts.end(),
+                                    [&](const auto& h) { return h.uid == host.uid; });
+    if (host.state == HostState::gone) {
+      if (known != held_.hosts.end()) held_.hosts.erase(known);
+    } else if (known != held_.hosts.end()) {
+      *known = host;
+    } else {
+      held_.hosts.push_back(host);
+    }
+  }
+}
+
+void FleetLists::fromDiscovery(const HostList& list) {
+  failingSince_.reset();
+  const bool same = gate_.held() && gate_.held()->source == source_;
+  // What only says that nothing has changed is no news to the others.
+  const bool news = !same || list.full || !list.hosts.empty();
+  anew_ = same && list.version < gate_.held()->version;
+  gate_.take({source_, list.version, anew_});
+  merge(list);
+  if (news) journal_.line("list-told", {{"version", list.version}, {"hosts", held_.hosts.size()}});
+  callbacks_.told(list);
+  if (news) hand();
+}
+
+// To all, by whoever owns the list; what is held may also have come from the last owner.
+void FleetLists::hand() {
+  if (!ownsList() || !gate_.held()) return;
+  json body = toJson(held_);
+  body["source"] = gate_.held()->source;
+  body["anew"] = anew_;
+  if (member_->order(kList, body.dump(), true)) ++handed_;
+}
+
+void FleetLists::ordered(const fleet::Order& order) {
+  if (order.id.key != kList || order.id.from == member_->self()) return;
+  try {
+    const json body = json::parse(order.body);
+    HostList list = parseHostList(body);
+    const fleet::ListMark mark{body.value("source", ""), list.version, body.value("anew", false)};
+    list.full = true;
+    if (!gate_.take(mark)) {
+      ++passedOver_;
+      journal_.order("list-passed-over", order.id,
+                     {{"version", list.version}, {"held", gate_.held()->version}});
+      return;
+    }
+    ++taken_;
+    anew_ = mark.anew;
+    merge(list);
+    journal_.order("list-taken", order.id, {{"version", list.version}, {"hosts", list.hosts.size()}});
+    if (!asks() && std::exchange(watching_, false)) discovery_.stop();
+    callbacks_.told(held_);
+  } catch (const std::exception& bad) {  // of another version, or nonsense: the list held stays
+    journal_.order("list-unreadable", order.id, {{"why", bad.what()}});
+  }
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> FleetLists::figures() const {
+  return {{"fleet.alone", member_->alone()},     {"fleet.joined", member_->joined()},
+          {"fleet.members", member_->members()}, {"fleet.owns_list", ownsList()},
+          {"fleet.asks_discovery", asks()},      {"fleet.orders_refused", member_->refusedOrders()},
+          {"fleet.lists_taken", taken_},         {"fleet.lists_passed_over", passedOver_},
+          {"fleet.lists_handed", handed_}};
+}
+
+}  // namespace cairnjunction
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -79,7 +79,7 @@
 
 Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits,
                  std::function<void(std::string)> log, const jsonrpc::Settings& jsonRpc,
-                 std::shared_ptr<const route::Router> router)
+                 std::shared_ptr<const route::Router> router, const fleet::Settings* fleet)
     : io_(io),
       unixStart_(std::chrono::system_clock::now()),
       settings_(moduleSettings(config, jsonRpc)),
@@ -89,11 +89,10 @@
       log_(std::move(log)),
       upstream_(makeUpstream(config)),
       engine_(settings_, *this, *upstream_),
-      discovery_(
-          io, config.discovery,
-          {[this](const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); },
-           [this] { engine_.tellHosts(ListKind::unavailable, {}); }, [this] { engine_.doubtFailed(); }},
-          waits.discovery),
+      discovery_(io, config.discovery,
+                 {[this](const HostList& list) { fromDiscovery(list); }, [this] { discoveryFailed(); },
+                  [this] { engine_.doubtFailed(); }},
+                 waits.discovery),
       waker_(io),
       drainTimer_(io),
       pools_(router
@@ -121,6 +120,12 @@
                                                 prefix + "-" + std::to_string(born) + "-");
   }
   if (config.known) discovery_.knows(config.known->version);
+  if (fleet)
+    fleet_ = std::make_unique<FleetLists>(
+        io, *fleet, config.name, discovery_, config.discovery, config.known,
+        FleetLists::Callbacks{
+            [this](const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); },
+            [this](const std::string& line) { log_(line); }});
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
   if (config.mgmt)
@@ -176,6 +181,28 @@
   }));
 }
 
+// --- Discovery, and the fleet before it -------------------------------------------------------------------
+
+void Gateway::subscribe() {
+  if (fleet_) fleet_->subscribe();
+  else discovery_.watch();
+}
+
+void Gateway::doubtList() {
+  if (fleet_) fleet_->doubted();
+  else discovery_.askBeside();
+}
+
+void Gateway::fromDiscovery(const HostList& list) {
+  if (fleet_) fleet_->fromDiscovery(list);
+  else told(list, list.full ? ListKind::replace : ListKind::update);
+}
+
+void Gateway::discoveryFailed() {
+  if (fleet_) fleet_->discoveryFailed();
+  engine_.tellHosts(ListKind::unavailable, {});
+}
+
 // --- Hosts ----------------------------------------------------------------------------------------------
 
 void Gateway::told(const HostList& list, ListKind kind) {
@@ -230,6 +257,7 @@
   figures.targetsDisabled = targets.avoided;
   figures.reloadSuccess = reloads_;
   figures.reloadFailure = reloadFailures_;
+  if (fleet_) figures.more = fleet_->figures();
   return figures;
 }
 
@@ -257,7 +285,8 @@
     method.classIndex = engine_.classes().current().at(next.classes[method.classIndex].name);
   }
   ++reloads_;
-  discovery_.moveTo(config.discovery);
+  if (fleet_) fleet_->moveTo(config.discovery);
+  else discovery_.moveTo(config.discovery);
   limitUpstream_(config);
   http_.server().setLimits(clientLimits(config, waits_.clients, jsonRpcSettings_));
 }
@@ -279,6 +308,7 @@
   if (draining_) return;
   draining_ = true;
   drained_ = std::move(done);
+  if (fleet_) fleet_->leave([] {});  // others take over what it owned, while it serves on
   // Where the listening socket is shared, the next process serves already, and clients are sent to it.
   // Where deadlines leave no time to serve on, they are sent away at once too.
   if (shared_ || serveOn() <= kAcceptOn) http_.server().lastAnswers();
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "app/fleet.hpp"
 #include "app/module_clock.hpp"
 #include "app/pools.hpp"
 #include "config/config.hpp"
@@ -42,10 +43,11 @@
   // Listens and asks discovery at once. Throws boost::system::system_error if it can't listen. `jsonRpc` was
   // resolved against the settings in `config` (jsonrpc::resolve). With `router` HTTP requests go by it, and
   // its pools are made; otherwise all go to the hosts from discovery. Throws BadConfig for a server of a pool
-  // with no address.
+  // with no address. With `fleet` it is a member: lists come from their owner, and its own calls on discovery
+  // only where it is that owner, or alone. Nothing that it serves waits for the fleet.
   Gateway(boost::asio::io_context& io, const Config& config, Waits waits,
           std::function<void(std::string)> log, const jsonrpc::Settings& jsonRpc = {},
-          std::shared_ptr<const route::Router> router = nullptr);
+          std::shared_ptr<const route::Router> router = nullptr, const fleet::Settings* fleet = nullptr);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
@@ -62,7 +64,8 @@
   std::size_t openRequests() const { return engine_.openCalls(); }
   std::size_t hosts() const { return upstream_->hosts(); }
   const Engine& engine() const { return engine_; }
-  Pools* pools() { return pools_.get(); }  // null: no routes
+  const FleetLists* fleet() const { return fleet_.get(); }  // null: off
+  Pools* pools() { return pools_.get(); }                   // null: no routes
   std::size_t connections() const {
     return http_.server().connections() + upstream_->connections() +
            (jsonRpc_ ? jsonRpc_->connections() : 0) + (pools_ ? pools_->connections() : 0);
@@ -73,13 +76,15 @@
  private:
   ochrehill::Time now() const override;
   void wakeAt(ochrehill::Time at) override;
-  void subscribe() override { discovery_.watch(); }
-  void doubtList() override { discovery_.askBeside(); }
+  void subscribe() override;
+  void doubtList() override;
   void log(const std::string& line) override { log_(line); }
 
   ochrehill::Time moduleTime(std::int64_t unixMs) const;
   void told(const HostList& list, ochrehill::ListKind kind);
   std::unique_ptr<HostUpstream> makeUpstream(const Config& config);
+  void fromDiscovery(const HostList& list);
+  void discoveryFailed();
   void emptied(bool& front);
   ochrehill::Duration serveOn() const;
   void finishDrain();
@@ -107,6 +112,7 @@
   std::unique_ptr<jsonrpc::Front> jsonRpc_;
   std::uint64_t reloads_ = 0, reloadFailures_ = 0;
   std::unique_ptr<ops::Door> door_;
+  std::unique_ptr<FleetLists> fleet_;
   Lifetime lifetime_;  // of what the event loop is still to call
 };
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -9,12 +9,14 @@
 #include <exception>
 #include <iostream>
 #include <memory>
+#include <optional>
 
 #include "app/demo.hpp"
 #include "app/gateway.hpp"
 #include "app/route_commands.hpp"
 #include "config/config.hpp"
 #include "config/routes_file.hpp"
+#include "fleet/settings.hpp"
 #include "jsonrpc/settings.hpp"
 #include "route/router.hpp"
 
@@ -28,7 +30,7 @@
 namespace jsonrpc = cairnjunction::jsonrpc;
 
 struct Files {
-  std::string config, jsonRpc, routes;  // empty: GW_CONFIG; no JSON-RPC; no routes
+  std::string config, jsonRpc, routes, fleet;  // empty: GW_CONFIG; no JSON-RPC; no routes; no fleet
 };
 
 void log(const std::string& line) { std::cerr << line << '\n'; }
@@ -87,7 +89,9 @@
   std::shared_ptr<const cairnjunction::route::Router> router;
   if (!files.routes.empty())
     router = std::make_shared<cairnjunction::route::Router>(cairnjunction::readRoutes(files.routes));
-  cairnjunction::Gateway gateway(io, config, {}, log, settings, router);
+  std::optional<cairnjunction::fleet::Settings> fleet;
+  if (!files.fleet.empty()) fleet = cairnjunction::fleet::readSettings(files.fleet);
+  cairnjunction::Gateway gateway(io, config, {}, log, settings, router, fleet ? &*fleet : nullptr);
   stops.async_wait([&](boost::system::error_code ec, int) {
     if (!ec) gateway.drain([&] { io.stop(); });
   });
@@ -116,6 +120,11 @@
               << router.routes().pools.size() << " pools\n";
     for (const std::string& warning : router.warnings()) std::cout << "warning: " << warning << '\n';
   }
+  if (!files.fleet.empty()) {
+    const cairnjunction::fleet::Settings fleet = cairnjunction::fleet::readSettings(files.fleet);
+    std::cout << files.fleet << ": good: fleet '" << fleet.fleet << "', " << fleet.keepers.size()
+              << " keepers, " << fleet.duties.size() << " duties\n";
+  }
   return 0;
 }
 
@@ -138,6 +147,7 @@
   checking->add_option("FILE", checked.config, "the configuration")->required();
   checking->add_option("--jsonrpc", checked.jsonRpc, "settings of JSON-RPC, checked against it");
   checking->add_option("--routes", checked.routes, "a file of routes, checked too");
+  checking->add_option("--fleet", checked.fleet, "a fleet file, checked too");
   cairnjunction::DemoOptions demo;
   CLI::App* showing = app.add_subcommand(
       "demo", "serve with stand-in workers and discovery on loopback, and say what to try");
@@ -160,6 +170,7 @@
   routing->add_option("PATH", route.paths, "paths, perhaps with arguments")->required();
   routing->add_option("--host", route.host, "as the client names it");
   routing->add_option("--method", route.method, "")->capture_default_str();
+  app.add_option("--fleet", files.fleet, "a fleet file (docs/operators/fleet.md); off without");
   app.require_subcommand(0, 1);
   try {
     app.parse(argc, argv);
@@ -190,6 +201,9 @@
   } catch (const cairnjunction::route::BadRoutes& bad) {
     std::cerr << "cairnjunction: " << bad.what() << '\n';
     return kBadConfig;
+  } catch (const cairnjunction::fleet::BadSettings& bad) {
+    std::cerr << "cairnjunction: " << bad.what() << '\n';
+    return kBadConfig;
   } catch (const jsonrpc::BadSettings& bad) {
     std::cerr << "cairnjunction: " << bad.what() << '\n';
     return kBadConfig;
--- a/src/discovery/host_list.cpp
+++ b/src/discovery/host_list.cpp
@@ -51,4 +51,21 @@
   }
 }
 
+nlohmann::json toJson(const HostList& list) {
+  nlohmann::json targets = nlohmann::json::array();
+  for (const ListedHost& host : list.hosts)
+    targets.push_back(
+        {{"uid", host.uid},
+         {"endpoint", host.endpoint.address().to_string() + ":" + std::to_string(host.endpoint.port())},
+         {"az", host.zone},
+         {"model", host.kind},
+         {"pod_group", host.cell},
+         {"state", host.state == HostState::serving    ? "SERVING"
+                   : host.state == HostState::draining ? "DRAINING"
+                                                       : "DELETED"},
+         {"capacity_hint", host.weight},
+         {"boot_ms", host.bootMs}});
+  return {{"rev", list.version}, {"all", list.full}, {"targets", std::move(targets)}};
+}
+
 }  // namespace cairnjunction
--- a/src/discovery/host_list.hpp
+++ b/src/discovery/host_list.hpp
@@ -28,6 +28,8 @@
   std::vector<ListedHost> hosts;
 };
 
+nlohmann::json toJson(const HostList& list);  // in discovery's form, as parseHostList reads it
+
 // Both throw std::invalid_argument on nonsense.
 HostList parseHostList(const nlohmann::json& json);
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view text);  // "127.0.0.1:8080"
--- a/src/fleet/frame.hpp
+++ b/src/fleet/frame.hpp
@@ -80,7 +80,7 @@
   bool keep = false;  // the last one of its key is given to those that join
   std::string body;
 };
-struct Leave {};  // a member stops: it owns nothing any more
+struct Leave {};  // a member stops and owns nothing any more; and the keeper's word that this is on the log
 
 using Message = std::variant<Hello, KeeperHello, KeeperAnswer, Welcome, Elsewhere, TurnedAway, Beat, Pulse,
                              GiveBack, HandOver, Order, Leave>;
--- a/src/fleet/keeper.cpp
+++ b/src/fleet/keeper.cpp
@@ -237,7 +237,8 @@
   session->willing = false;
   propose(duty::Left{session->member}, [this, session](const duty::Outcome&) {
     journal_.line("member-left", {{"name", session->member.name}});
-    session->link->finish(LinkEnd::stopped);
+    // It serves on for a while, and so goes on hearing orders.
+    if (!session->gone) session->link->send(Leave{});
     grantWhatIsFree();
   });
 }
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -45,6 +45,7 @@
   if (file_.read(marks)) fence_.learn(marks);
   nextKeeper_ = random_() % settings_.keepers.size();
   heardAt_ = bootTime();
+  journal_.line("started", {{"incarnation", self_.incarnation}, {"marks", marks.size()}});
   watchAlone();
   dial();
 }
@@ -67,19 +68,19 @@
   dialling_ = to->number;
   Link::Limits limits;
   limits.silent = settings_.aloneAfter;
-  link_ =
-      Link::dial(io_, to->address, limits,
-                 {[this] {
-                    link_->send(Hello{kProtocol, settings_.fleet, self_, settings_.zone, settings_.willing});
-                  },
-                  [this](const Message& message) { heard(message); },
-                  [this](LinkEnd end, const std::string& why) { ended(end, why); }});
+  link_ = Link::dial(io_, to->address, limits,
+                     {[this] {
+                        link_->send(Hello{kProtocol, settings_.fleet, self_, settings_.zone,
+                                          settings_.willing && !leaving_});
+                      },
+                      [this](const Message& message) { heard(message); },
+                      [this](LinkEnd end, const std::string& why) { ended(end, why); }});
 }
 
 void Member::dialLater(milliseconds most) {
   dialTimer_.expires_after(drawn(most / 2, most));
   dialTimer_.async_wait(lifetime_.guard([this](error_code ec) {
-    if (!ec && !leaving_) dial();
+    if (!ec) dial();
   }));
 }
 
@@ -90,10 +91,7 @@
   const std::string text = std::string(nameOf(end)) + (why.empty() ? "" : ": " + why);
   if (had || text != lastEnd_) journal_.line("link-ended", {{"keeper", dialling_}, {"end", text}});
   lastEnd_ = text;
-  if (leaving_) {
-    if (left_) std::exchange(left_, nullptr)();
-    return;
-  }
+  if (leaving_) left();
   if (had) {
     failures_ = 0;
     return dialLater(kSpread);
@@ -109,6 +107,7 @@
   else if (const auto* pulse = std::get_if<Pulse>(&message)) on(*pulse);
   else if (const auto* order = std::get_if<Order>(&message)) on(*order);
   else if (const auto* word = std::get_if<HandOver>(&message)) on(*word);
+  else if (std::holds_alternative<Leave>(message)) left();
   else if (const auto* moved = std::get_if<Elsewhere>(&message)) {
     if (moved->keeper != dialling_) hinted_ = moved->keeper;
     link_->close(LinkEnd::moved);
@@ -242,24 +241,25 @@
   if (it != active_.end() && it->second == word.epoch) giveBack(word.key, false);
 }
 
+// It owns nothing from here on, and goes on hearing orders.
 void Member::leave(std::function<void()> done) {
   if (leaving_) return;
   leaving_ = true;
-  dialTimer_.cancel();
   for (const auto& [key, epoch] : std::map<Key, duty::Epoch>(active_)) lost(key, epoch, "it stops");
-  if (!link_ || !joined_) {
-    if (link_) link_->drop();
-    link_ = nullptr;
-    return done();
-  }
+  if (!link_ || !joined_) return done();
   left_ = std::move(done);
   link_->send(Leave{});
   leaveTimer_.expires_after(kLeaveMost);
   leaveTimer_.async_wait(lifetime_.guard([this](error_code ec) {
-    if (!ec && left_) std::exchange(left_, nullptr)();
+    if (!ec) left();
   }));
 }
 
+void Member::left() {
+  leaveTimer_.cancel();
+  if (left_) std::exchange(left_, nullptr)();
+}
+
 // --- Orders -----------------------------------------------------------------------------------------------
 
 // Danger: the mark is on the disk before the effect, or there is no effect.
--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -52,7 +52,8 @@
   bool order(const duty::Key& key, std::string body, bool keep);
   bool owns(const duty::Key& key) const;
   void giveBack(const duty::Key& key, bool failed);
-  // Gives back all it owns; `done` once the keeper knows, or after kLeaveMost.
+  // Gives back all it owns, for good, and goes on hearing orders; `done` once the keeper knows, or after
+  // kLeaveMost.
   void leave(std::function<void()> done);
 
   bool alone() const { return alone_; }  // no keeper was heard of for the settings' time
@@ -78,6 +79,7 @@
   void beatAt(duty::Time at);
   void granted(const Grant& grant);
   void lost(const duty::Key& key, duty::Epoch epoch, const char* why);
+  void left();
   void watchTenures();
   void heardKeeper();
   void watchAlone();
--- a/src/ops/figures.cpp
+++ b/src/ops/figures.cpp
@@ -31,6 +31,7 @@
   line(text, "targets_disabled", figures.targetsDisabled);
   line(text, "reload_success", figures.reloadSuccess);
   line(text, "reload_failure", figures.reloadFailure);
+  for (const auto& [name, value] : figures.more) line(text, name, value);
   return text;
 }
 
--- a/src/ops/figures.hpp
+++ b/src/ops/figures.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cairnjunction::ops {
@@ -17,11 +18,12 @@
 
 struct Figures {
   std::vector<ClassFigures> classes;
-  std::uint64_t dispatches = 0;                        // attempts written whole to hosts
-  std::size_t concurrent = 0;                          // requests taken and not ended
-  std::size_t targets = 0;                             // hosts in the list,
-  std::size_t targetsDisabled = 0;                     // and those of them to which nothing is sent now
-  std::uint64_t reloadSuccess = 0, reloadFailure = 0;  // files taken and turned down at SIGHUP
+  std::uint64_t dispatches = 0;                             // attempts written whole to hosts
+  std::size_t concurrent = 0;                               // requests taken and not ended
+  std::size_t targets = 0;                                  // hosts in the list,
+  std::size_t targetsDisabled = 0;                          // and those of them to which nothing is sent now
+  std::vector<std::pair<std::string, std::uint64_t>> more;  // of parts that are on; by name
+  std::uint64_t reloadSuccess = 0, reloadFailure = 0;       // files taken and turned down at SIGHUP
 };
 
 // A line `name=value` for each figure, each ended by LF. A byte of a class's name that would end a name or a
--- a/tests/fleet/rig.hpp
+++ b/tests/fleet/rig.hpp
@@ -76,6 +76,7 @@
       held.push_back(std::make_unique<tcp::acceptor>(io, loopback()));
       ports.push_back(held.back()->local_endpoint().port());
     }
+    std::ofstream(dir + "fleet.toml") << fileText();
   }
   void TearDown() override {
     members.clear();
@@ -95,7 +96,6 @@
   }
   std::string folder(int number) const { return dir + "k" + std::to_string(number); }
   void startKeeper(int number) {
-    std::ofstream(dir + "fleet.toml") << fileText();
     std::filesystem::create_directories(folder(number));
     keepers[number] = std::make_unique<KeeperProcess>(dir + "fleet.toml", number, folder(number));
   }
--- a/tools/discovery_main.cpp
+++ b/tools/discovery_main.cpp
@@ -69,6 +69,7 @@
     Changes changes{boost::asio::posix::stream_descriptor(io, ::dup(STDIN_FILENO)), {}, discovery};
     changes.read();
     io.run();
+    std::cout << "calls " << discovery.calls() << '\n';
     return 0;
   } catch (const std::exception& bad) {
     std::cerr << "discovery: " << bad.what() << '\n';
--- /dev/null
+++ b/tools/lab/checks.cpp
@@ -0,0 +1,273 @@
+// The promises, judged from ledgers.
+#include "lab/checks.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace cairnjunction::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kToldMost = 5;
+// A fault may show in calls that were under way before it, and in those that came while its process returned.
+constexpr std::int64_t kBeforeMs = 100, kAfterMs = 2000;
+// Of rule 3: the grace of the settings, and what a call may take from the decision to the worker's ledger.
+constexpr std::int64_t kGraceMs = 1000, kOnTheWayMs = 300;
+// An answer later than this after the client's time is none.
+constexpr double kLateMs = 500;
+
+struct Judge {
+  Check check;
+  explicit Judge(const char* name) { check.name = name; }
+  void broken(const std::string& text) {
+    check.held = false;
+    if (check.broken.size() < kToldMost) check.broken.push_back(text);
+  }
+};
+
+std::string keyText(const json& line) {
+  return line.at("duty").get<std::string>() + "/" + std::to_string(line.at("shard").get<std::uint64_t>());
+}
+
+bool excused(const Ledgers& l, const std::string& process, std::int64_t from, std::int64_t to) {
+  return std::any_of(l.faults.begin(), l.faults.end(), [&](const FaultSpan& f) {
+    return f.process == process && from <= f.endMs + kAfterMs && to >= f.beginMs - kBeforeMs;
+  });
+}
+
+double giveUpMs(const Ledgers& l, const std::string& name) {
+  return l.run.value("give_up_ms", json::object()).value(name, 2000.0);
+}
+
+Check oneAnswer(const Ledgers& l) {
+  Judge judge("one-answer");
+  for (const ClientCall& call : l.calls) {
+    ++judge.check.counted;
+    const bool good =
+        call.answers == 1 && call.status != 0 && call.tookMs <= giveUpMs(l, call.name) + kLateMs;
+    if (good) continue;
+    // A process that is killed or stopped owes nothing more; two answers are never excused.
+    if (call.answers <= 1 && excused(l, "n" + std::to_string(call.gateway), call.dueMs,
+                                     call.dueMs + static_cast<std::int64_t>(call.tookMs)))
+      continue;
+    judge.broken("call " + call.id + " at gateway " + std::to_string(call.gateway) + ": " +
+                 std::to_string(call.answers) + " answers after " +
+                 std::to_string(static_cast<int>(call.tookMs)) + " ms, status " +
+                 std::to_string(call.status) + " " + call.end);
+  }
+  return judge.check;
+}
+
+Check unsafeOnce(const Ledgers& l) {
+  Judge judge("unsafe-once");
+  std::map<std::string, int> runs;
+  for (const WorkerLine& w : l.workers) {
+    if (w.came || w.method != "stock-out") continue;
+    ++judge.check.counted;
+    if (++runs[w.ref] == 2) judge.broken("stock-out " + w.ref + " ran twice");
+  }
+  return judge.check;
+}
+
+// When each process of a gateway was told of a version: by an order, or by its own call.
+struct Told {
+  std::int64_t startMs = 0;
+  std::vector<std::pair<std::int64_t, std::int64_t>> versions;  // ms, version
+};
+
+std::vector<Told> toldOf(const std::vector<json>& lines) {
+  std::vector<Told> all;
+  for (const json& line : lines) {
+    const std::string event = line.at("event");
+    if (event == "started" || all.empty()) all.push_back({line.at("boot_ms").get<std::int64_t>(), {}});
+    if (event == "list-taken" || event == "list-told")
+      all.back().versions.emplace_back(line.at("boot_ms"), line.at("version"));
+  }
+  return all;
+}
+
+Check drainedQuiet(const Ledgers& l) {
+  Judge judge("drained-quiet");
+  std::map<std::string, int> gatewayOf;
+  for (const ClientCall& call : l.calls) gatewayOf[call.id] = call.gateway;
+  std::map<int, std::vector<Told>> told;
+  for (const auto& [name, lines] : l.members) told[std::stoi(name.substr(1))] = toldOf(lines);
+  for (std::size_t i = 0; i < l.hosts.size(); ++i) {
+    const HostLine& drain = l.hosts[i];
+    if (drain.state == "SERVING") continue;
+    std::int64_t until = INT64_MAX;
+    for (std::size_t j = i + 1; j < l.hosts.size(); ++j)
+      if (l.hosts[j].port == drain.port && l.hosts[j].state == "SERVING") {
+        until = l.hosts[j].ms;
+        break;
+      }
+    for (const WorkerLine& w : l.workers) {
+      if (!w.came || w.port != drain.port || w.ms < drain.ms || w.ms >= until) continue;
+      ++judge.check.counted;
+      const auto known = gatewayOf.find(w.ref);
+      if (known == gatewayOf.end()) continue;
+      const std::vector<Told>& processes = told[known->second];
+      const auto process = std::find_if(processes.rbegin(), processes.rend(),
+                                        [&](const Told& t) { return t.startMs <= w.ms; });
+      if (process == processes.rend()) continue;
+      for (const auto& [ms, version] : process->versions)
+        if (version >= drain.version && ms >= drain.ms) {
+          if (w.ms > ms + kGraceMs + kOnTheWayMs)
+            judge.broken("call " + w.ref + " of gateway " + std::to_string(known->second) + " came to port " +
+                         std::to_string(w.port) + " " + std::to_string(w.ms - ms) +
+                         " ms after its drain was told");
+          break;
+        }
+    }
+  }
+  return judge.check;
+}
+
+Check oneOwnerAnEpoch(const Ledgers& l) {
+  Judge judge("one-owner-an-epoch");
+  std::map<std::pair<std::string, std::uint64_t>, std::string> owners;
+  const auto note = [&](const std::string& key, std::uint64_t epoch, const std::string& who,
+                        const std::string& what) {
+    ++judge.check.counted;
+    const auto [it, first] = owners.emplace(std::pair(key, epoch), who);
+    if (!first && it->second != who)
+      judge.broken(key + " epoch " + std::to_string(epoch) + ": " + it->second + " and " + who + " (" + what +
+                   ")");
+  };
+  for (const auto& [name, lines] : l.members) {
+    std::string incarnation;
+    for (const json& line : lines) {
+      const std::string event = line.at("event");
+      if (event == "started") incarnation = line.at("incarnation").dump();
+      if (event == "duty-begun") note(keyText(line), line.at("epoch"), name + "#" + incarnation, "begun");
+      if (event == "order-taken")
+        note(keyText(line), line.at("epoch"),
+             line.at("from").get<std::string>() + "#" + line.at("from_incarnation").dump(),
+             "taken by " + name);
+    }
+  }
+  return judge.check;
+}
+
+Check noOlderAfterNewer(const Ledgers& l) {
+  Judge judge("no-older-after-newer");
+  for (const auto& [name, lines] : l.members) {
+    std::map<std::string, std::uint64_t> highest;
+    for (const json& line : lines) {
+      if (line.at("event") != "order-taken") continue;
+      ++judge.check.counted;
+      std::uint64_t& seen = highest[keyText(line)];
+      const std::uint64_t epoch = line.at("epoch");
+      if (epoch < seen)
+        judge.broken(name + " took " + keyText(line) + " epoch " + std::to_string(epoch) + " after epoch " +
+                     std::to_string(seen));
+      seen = std::max(seen, epoch);
+    }
+  }
+  return judge.check;
+}
+
+// Whoever is there at the end acts on the last version.
+Check listsCaughtUp(const Ledgers& l) {
+  Judge judge("lists-caught-up");
+  if (l.hosts.empty()) return judge.check;
+  for (const auto& name : l.run.value("alive", json::array())) {
+    const auto lines = l.members.find(name.get<std::string>());
+    if (lines == l.members.end()) continue;
+    ++judge.check.counted;
+    const std::vector<Told> processes = toldOf(lines->second);
+    std::int64_t last = 0;
+    if (!processes.empty())
+      for (const auto& [ms, version] : processes.back().versions) last = version;
+    if (last != l.hosts.back().version)
+      judge.broken(name.get<std::string>() + " ends with version " + std::to_string(last) + " of " +
+                   std::to_string(l.hosts.back().version));
+  }
+  return judge.check;
+}
+
+}  // namespace
+
+std::vector<Check> judge(const Ledgers& l) {
+  return {oneAnswer(l),       unsafeOnce(l),        drainedQuiet(l),
+          oneOwnerAnEpoch(l), noOlderAfterNewer(l), listsCaughtUp(l)};
+}
+
+std::vector<Span> spans(const Ledgers& l) {
+  std::vector<Span> all;
+  for (const auto& [name, lines] : l.members)
+    for (const json& line : lines) {
+      const std::string event = line.at("event");
+      if (event == "duty-begun")
+        all.push_back({name, line.at("duty"), line.at("boot_ms"), 0, line.at("shard"), line.at("epoch")});
+      if (event == "duty-ended")
+        for (Span& s : all)
+          if (s.member == name && s.endMs == 0 && s.duty == line.at("duty") && s.shard == line.at("shard") &&
+              s.epoch == line.at("epoch"))
+            s.endMs = line.at("boot_ms");
+    }
+  std::sort(all.begin(), all.end(), [](const Span& a, const Span& b) { return a.beginMs < b.beginMs; });
+  return all;
+}
+
+std::vector<Gap> gaps(const Ledgers& l) {
+  std::vector<Gap> all;
+  std::map<std::pair<std::string, std::uint64_t>, const Span*> last;
+  const std::vector<Span> owned = spans(l);
+  for (const Span& s : owned) {
+    const Span*& before = last[{s.duty, s.shard}];
+    if (before) {
+      // Its own word, or the fault that silenced it, whichever was first.
+      std::int64_t end = before->endMs && before->endMs <= s.beginMs ? before->endMs : s.beginMs;
+      std::string after = "released";
+      for (const FaultSpan& f : l.faults)
+        if (f.process == before->member && f.beginMs >= before->beginMs && f.beginMs <= end + 1) {
+          end = f.beginMs;
+          after = f.kind;
+          break;
+        }
+      all.push_back({s.duty, s.beginMs, s.beginMs - end, after});
+    }
+    before = &s;
+  }
+  return all;
+}
+
+json figures(const Ledgers& l) {
+  std::vector<double> took;
+  std::map<std::string, int> by;
+  for (const ClientCall& call : l.calls) {
+    ++by[call.status == 200   ? "served"
+         : call.status == 503 ? "refused"
+         : call.status == 0   ? "unanswered"
+                              : "failed"];
+    if (call.status == 200) took.push_back(call.tookMs);
+  }
+  std::sort(took.begin(), took.end());
+  const auto quantile = [&](double q) {
+    return took.empty() ? 0.0
+                        : took[std::min(took.size() - 1,
+                                        static_cast<std::size_t>(q * static_cast<double>(took.size())))];
+  };
+  json out = {{"calls", l.calls.size()},        {"served", by["served"]},
+              {"refused", by["refused"]},       {"failed", by["failed"]},
+              {"unanswered", by["unanswered"]}, {"served_ms_p50", quantile(0.5)},
+              {"served_ms_p99", quantile(0.99)}};
+  std::uint64_t refusedOrders = 0, taken = 0;
+  for (const auto& [name, lines] : l.members)
+    for (const json& line : lines) {
+      refusedOrders += line.at("event") == "order-refused";
+      taken += line.at("event") == "order-taken";
+    }
+  out["orders_taken"] = taken;
+  out["orders_refused"] = refusedOrders;
+  for (const Gap& gap : gaps(l))
+    if (gap.duty == "list") out["list_without_owner_ms"][gap.after].push_back(gap.ms);
+  if (l.run.contains("measured")) out["measured"] = l.run["measured"];
+  return out;
+}
+
+}  // namespace cairnjunction::lab
--- /dev/null
+++ b/tools/lab/load.hpp
@@ -0,0 +1,45 @@
+// An open-loop load: calls come when they are due, whatever became of the ones before. Each is one
+// connection; its latency counts from when it was due.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <fstream>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cairnjunction::lab {
+
+class Load {
+ public:
+  // How long a client waits for an answer beyond the longest deadline: past it the call was lost.
+  static constexpr std::chrono::milliseconds kWait{4000};
+
+  // Writes a line for each call to `ledger` when it is over.
+  Load(boost::asio::io_context& io, std::vector<std::uint16_t> gateways, double rate, std::uint64_t seed,
+       const std::string& ledger);
+  void start() { next(); }
+  void stop();  // no further calls; those under way go on
+  bool idle() const { return open_ == 0; }
+  std::uint64_t calls() const { return calls_; }
+
+ private:
+  struct Call;
+  void next();
+  void begin();
+
+  boost::asio::io_context& io_;
+  std::vector<std::uint16_t> gateways_;
+  double rate_;
+  std::mt19937_64 random_;
+  std::ofstream ledger_;
+  boost::asio::steady_timer timer_;
+  std::chrono::steady_clock::time_point due_;
+  std::uint64_t calls_ = 0, open_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace cairnjunction::lab
--- /dev/null
+++ b/tools/lab/report.hpp
@@ -0,0 +1,17 @@
+// A run for people and for programs: result.json, and a Markdown page with plots of who owned what when, of
+// the faults, and of what was served and refused.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "lab/checks.hpp"
+
+namespace cairnjunction::lab {
+
+nlohmann::json resultOf(const Ledgers& ledgers, const std::vector<Check>& checks);
+// owners.svg, calls.svg and report.md. Throws std::runtime_error if they can't be written.
+void writeReport(const std::string& folder, const Ledgers& ledgers, const std::vector<Check>& checks);
+
+}  // namespace cairnjunction::lab
--- /dev/null
+++ b/tools/lab/run.cpp
@@ -0,0 +1,478 @@
+// One run of an experiment.
+#include "lab/run.hpp"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+
+#include "fleet/boot_clock.hpp"
+
+namespace cairnjunction::lab {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kReady{30'000};
+constexpr int kGiveUpMs[] = {1200, 2000, 1000};
+constexpr const char* kClasses[] = {"cut-plan", "stock-out", "log-in"};
+constexpr const char* kEffects[] = {"retryable", "fragile", "dedup"};
+
+std::string text(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+std::int64_t bootMs() { return fleet::bootTime().count(); }
+
+json gatewayConfig(const std::string& name, std::uint16_t listen, std::uint16_t discovery) {
+  json grades = json::array();
+  for (std::size_t i = 0; i < 3; ++i)
+    grades.push_back({{"name", kClasses[i]},
+                      {"effect", kEffects[i]},
+                      {"group", "zone"},
+                      {"points", i == 0 ? 12 : 1},
+                      {"aimNs", 400'000'000},
+                      {"giveUpNs", kGiveUpMs[i] * 1'000'000LL},
+                      {"windowNs", 2'000'000'000}});
+  return {{"name", name},
+          {"listen", text(listen)},
+          {"discovery", text(discovery)},
+          {"limits", {{"sockets", 1024}, {"memory_mb", 192}}},
+          {"settings",
+           {{"zone", "brasov"},
+            {"registryMode", "ask"},
+            {"stepNs", 5'000'000},
+            {"ceilings",
+             {{"cancel", true},
+              {"maxAttempts", 6},
+              {"retryAfter", true},
+              {"maxRetryAfterNs", 1'000'000'000},
+              {"idleCloseNs", 15'000'000'000},
+              {"connectTimeoutNs", 250'000'000}}},
+            {"rules", {{"askWithinNs", 30'000'000'000}}},
+            {"grades", grades}}}};
+}
+
+}  // namespace
+
+Run::Run(boost::asio::io_context& io, const Experiment& experiment, const RunOptions& options)
+    : io_(io), experiment_(experiment), options_(options), nextPort_(options.portBase) {
+  std::filesystem::create_directories(options.folder);
+  if (!std::filesystem::is_empty(options.folder)) throw CouldNotRun(options.folder + ": not empty");
+  faults_.open(options.folder + "/faults.jsonl");
+  hosts_.open(options.folder + "/hosts.jsonl");
+}
+
+Run::~Run() {
+  for (auto& [name, node] : nodes_)
+    if (node.process) node.process->signal(SIGCONT);
+}
+
+// --- Ports and links --------------------------------------------------------------------------------------
+
+std::uint16_t Run::port() {
+  for (; nextPort_ < 32000; ++nextPort_) {
+    error_code ec;
+    tcp::acceptor probe(io_);
+    probe.open(tcp::v4());
+    probe.bind({boost::asio::ip::make_address("127.0.0.1"), nextPort_}, ec);
+    if (!ec) return nextPort_++;
+  }
+  throw CouldNotRun("no free port is left");
+}
+
+Proxy* Run::link(std::uint16_t target, std::uint16_t& at) {
+  at = port();
+  proxies_.push_back(std::make_unique<Proxy>(io_, at, target));
+  return proxies_.back().get();
+}
+
+// --- Processes --------------------------------------------------------------------------------------------
+
+void Run::writeFiles() {
+  const std::string& dir = options_.folder;
+  discoveryPort_ = port();
+  for (int i = 0; i < experiment_.workers; ++i) {
+    const std::uint16_t at = port();
+    if (i == 0) workerPort_ = at;
+    else if (at != workerPort_ + i) throw CouldNotRun("the workers need ports one after the other");
+  }
+  for (int i = 0; i < experiment_.workers; ++i) {
+    std::uint16_t at = 0;
+    link(static_cast<std::uint16_t>(workerPort_ + i), at);
+    workerLinks_.push_back(at);
+  }
+  struct KeeperPorts {
+    std::uint16_t address, raft;
+  };
+  std::vector<KeeperPorts> keepers;
+  for (int i = 0; i < experiment_.keepers && experiment_.fleet; ++i) keepers.push_back({port(), port()});
+  const auto fleetFile = [&](const std::string& extra, const std::function<KeeperPorts(std::size_t)>& seen) {
+    std::string t = "fleet = \"lab\"\nmembers = " + std::to_string(experiment_.gateways) +
+                    "\nbeat_ms = " + std::to_string(experiment_.beatMs) +
+                    "\nalone_after_ms = " + std::to_string(experiment_.aloneMs) +
+                    "\nsettle_ms = " + std::to_string(experiment_.settleMs) +
+                    "\nelection_ms = " + std::to_string(experiment_.electionMs) + "\n";
+    for (std::size_t k = 0; k < keepers.size(); ++k) {
+      const KeeperPorts at = seen(k);
+      t += "[[keeper]]\nnumber = " + std::to_string(k + 1) + "\naddress = \"" + text(at.address) +
+           "\"\nraft = \"" + text(at.raft) + "\"\n";
+    }
+    const std::string lease = "\nlease_ms = " + std::to_string(experiment_.leaseMs) + "\n";
+    t += "[[duty]]\nname = \"list\"" + lease + "heirs = \"list-standby\"\n";
+    t += "[[duty]]\nname = \"list-standby\"" + lease + "apart_from = \"list\"\n";
+    t += "[[duty]]\nname = \"probe\"" + lease + "shards = " + std::to_string(experiment_.probeShards) + "\n";
+    return t + extra;
+  };
+  for (std::size_t k = 0; k < keepers.size(); ++k) {
+    const std::string name = "k" + std::to_string(k + 1);
+    Node& node = nodes_[name];
+    node.name = name;
+    node.port = keepers[k].address;
+    const std::string file = fleetFile("", [&](std::size_t other) {
+      if (other == k) return keepers[k];
+      KeeperPorts at{};
+      Proxy* address = link(keepers[other].address, at.address);
+      Proxy* raft = link(keepers[other].raft, at.raft);
+      for (Proxy* p : {address, raft}) {
+        node.out.push_back(p);
+        nodes_["k" + std::to_string(other + 1)].in.push_back(p);
+      }
+      return at;
+    });
+    std::ofstream(dir + "/" + name + ".toml") << file;
+    std::filesystem::create_directory(dir + "/" + name);
+    node.words = {dir + "/" + name + ".toml",
+                  "--number",
+                  std::to_string(k + 1),
+                  "--dir",
+                  dir + "/" + name,
+                  "--log",
+                  dir + "/" + name + ".jsonl",
+                  "--snapshot-every",
+                  "128"};
+  }
+  for (int g = 0; g < experiment_.gateways; ++g) {
+    const std::string name = "n" + std::to_string(g);
+    Node& node = nodes_[name];
+    node.name = name;
+    node.port = port();
+    std::uint16_t discovery = 0;
+    node.out.push_back(link(discoveryPort_, discovery));
+    std::ofstream(dir + "/" + name + ".config") << gatewayConfig(name, node.port, discovery).dump(1);
+    node.words = {"--config", dir + "/" + name + ".config"};
+    if (!experiment_.fleet) continue;
+    std::string extra = "[member]\nlog = \"" + dir + "/" + name + ".jsonl\"\n";
+    if (experiment_.disks) {
+      std::filesystem::create_directory(dir + "/" + name);
+      extra += "disk = \"" + dir + "/" + name + "\"\n";
+    }
+    std::ofstream(dir + "/" + name + ".toml") << fleetFile(extra, [&](std::size_t k) {
+      KeeperPorts at{0, keepers[k].raft};
+      Proxy* p = link(keepers[k].address, at.address);
+      fleetLinks_.push_back(p);
+      node.out.push_back(p);
+      nodes_["k" + std::to_string(k + 1)].in.push_back(p);
+      return at;
+    });
+    node.words.insert(node.words.end(), {"--fleet", dir + "/" + name + ".toml"});
+  }
+}
+
+void Run::start(Node& node, const std::string& program) {
+  node.process = std::make_unique<Process>(options_.programs + "/" + program, node.words,
+                                           options_.folder + "/" + node.name + ".out");
+}
+
+void Run::restart(Node& node) {
+  if (over_) return;
+  node.process.reset();
+  start(node, node.name.front() == 'k' ? "cairnjunction-keeper" : "cairnjunction");
+}
+
+bool Run::until(milliseconds most, const std::function<bool()>& done) {
+  const auto end = std::chrono::steady_clock::now() + most;
+  while (!done()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    io_.restart();
+    io_.run_for(milliseconds(20));
+  }
+  return true;
+}
+
+bool Run::listening(std::uint16_t at) {
+  tcp::socket socket(io_);
+  error_code ec;
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"), at}, ec);
+  return !ec;
+}
+
+void Run::startAll() {
+  writeFiles();
+  const std::string& dir = options_.folder;
+  discovery_ = std::make_unique<Process>(options_.programs + "/cairnjunction-discovery",
+                                         std::vector<std::string>{"--listen", text(discoveryPort_)},
+                                         dir + "/discovery.out", true);
+  workers_ = std::make_unique<Process>(
+      options_.programs + "/cairnjunction-worker",
+      std::vector<std::string>{"--port", std::to_string(workerPort_), "--count",
+                               std::to_string(experiment_.workers), "--work-least", "2", "--work-most", "8",
+                               "--slots", "16", "--seed", std::to_string(options_.seed), "--ledger",
+                               dir + "/workers.txt"},
+      dir + "/workers.out");
+  for (int i = 0; i < experiment_.workers; ++i) change({0, i, "SERVING"});
+  for (auto& [name, node] : nodes_)
+    if (name.front() == 'k') start(node, "cairnjunction-keeper");
+  if (experiment_.fleet && !until(kReady, [&] { return !leader().empty(); }))
+    throw CouldNotRun("the keepers chose no leader (see k1.jsonl and k1.out)");
+  for (auto& [name, node] : nodes_)
+    if (name.front() == 'n') start(node, "cairnjunction");
+  const bool ready = until(kReady, [&] {
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](auto& entry) {
+      if (!entry.second.process->running())
+        throw CouldNotRun(entry.first + " ended at its start (see its .out)");
+      return entry.first.front() == 'k' || listening(entry.second.port);
+    });
+  });
+  if (!ready) throw CouldNotRun("not all gateways listen");
+  // A duty has its first owner, and all have the list, before the load and the plan begin.
+  if (experiment_.fleet && !until(kReady, [&] {
+        return !ownerOf("list").empty() && std::all_of(nodes_.begin(), nodes_.end(), [&](auto& entry) {
+          if (entry.first.front() == 'k') return true;
+          const auto lines = lastLines(entry.first);
+          return std::any_of(lines.begin(), lines.end(), [](const std::string& line) {
+            return line.find("\"list-taken\"") != std::string::npos ||
+                   line.find("\"list-told\"") != std::string::npos;
+          });
+        });
+      }))
+    throw CouldNotRun("not all gateways were told a list");
+}
+
+// --- Who is meant
+// -------------------------------------------------------------------------------------------
+
+std::vector<std::string> Run::lastLines(const std::string& name) const {
+  std::ifstream file(options_.folder + "/" + name + ".jsonl");
+  std::vector<std::string> lines;
+  std::string line;
+  while (std::getline(file, line)) lines.push_back(line);
+  return lines;
+}
+
+// By the members' own lines: the one that began the highest epoch and has not ended it.
+std::string Run::ownerOf(const std::string& duty) const {
+  std::string owner;
+  std::uint64_t highest = 0;
+  for (const auto& [name, node] : nodes_) {
+    if (name.front() != 'n') continue;
+    std::map<std::uint64_t, std::uint64_t> begun;  // by shard
+    for (const std::string& text : lastLines(name)) {
+      const json line = json::parse(text, nullptr, false);
+      if (!line.is_object() || line.value("duty", "") != duty) continue;
+      if (line["event"] == "duty-begun") begun[line["shard"]] = line["epoch"];
+      if (line["event"] == "duty-ended") begun.erase(line["shard"].get<std::uint64_t>());
+    }
+    for (const auto& [shard, epoch] : begun)
+      if (epoch > highest) owner = name, highest = epoch;
+  }
+  return owner;
+}
+
+std::string Run::leader() const {
+  std::string leader;
+  std::int64_t last = -1;
+  for (const auto& [name, node] : nodes_) {
+    if (name.front() != 'k') continue;
+    for (const std::string& text : lastLines(name)) {
+      const json line = json::parse(text, nullptr, false);
+      if (!line.is_object()) continue;
+      if (line["event"] == "leads" && line["boot_ms"].get<std::int64_t>() > last)
+        leader = name, last = line["boot_ms"];
+      if (line["event"] == "leads-no-more" && leader == name) leader.clear();
+    }
+  }
+  return leader;
+}
+
+std::vector<Run::Node*> Run::whom(const std::string& words) {
+  std::vector<Node*> found;
+  const auto add = [&](const std::string& name) {
+    const auto it = nodes_.find(name);
+    if (it != nodes_.end()) found.push_back(&it->second);
+  };
+  const std::size_t colon = words.find(':');
+  const std::string kind = words.substr(0, colon),
+                    rest = colon == std::string::npos ? "" : words.substr(colon + 1);
+  if (kind == "owner") add(ownerOf(rest));
+  else if (kind == "leader") add(leader());
+  else if (kind == "gateway") add("n" + rest);
+  else if (kind == "keeper") add("k" + rest);
+  else if (kind == "keepers" || kind == "majority") {
+    const int n = kind == "keepers" ? experiment_.keepers : experiment_.keepers / 2 + 1;
+    for (int i = 1; i <= n; ++i) add("k" + std::to_string(i));
+  } else if (kind == "gateways") {  // the first share of them, in per cent
+    for (int i = 0; i < experiment_.gateways * std::stoi(rest) / 100; ++i) add("n" + std::to_string(i));
+  } else {
+    throw CouldNotRun("a fault on '" + words + "': nobody is called that");
+  }
+  return found;
+}
+
+// --- Faults
+// -------------------------------------------------------------------------------------------------
+
+void Run::at(std::int64_t ms, std::function<void()> what) {
+  timers_.push_back(std::make_unique<boost::asio::steady_timer>(io_, began_ + milliseconds(ms)));
+  timers_.back()->async_wait([what = std::move(what)](error_code ec) {
+    if (!ec) what();
+  });
+}
+
+void Run::inject(const Fault& fault) {
+  for (Node* node : whom(fault.whom)) {
+    const std::int64_t now = bootMs();
+    faults_ << json{{"kind", nameOf(fault.kind)},
+                    {"whom", fault.whom},
+                    {"process", node->name},
+                    {"begin_ms", now},
+                    {"end_ms", now + fault.forMs}}
+                   .dump()
+            << '\n'
+            << std::flush;
+    begin(fault, *node);
+    at(std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - began_).count() +
+           fault.forMs,
+       [this, fault, node] { end(fault, *node); });
+  }
+}
+
+void Run::setHolds(Node& node) {
+  const bool out = std::any_of(node.held.begin(), node.held.end(), [](const auto& h) { return h.first; });
+  const bool in = std::any_of(node.held.begin(), node.held.end(), [](const auto& h) { return h.second; });
+  for (Proxy* p : node.out) p->hold(out, in);
+  for (Proxy* p : node.in) p->hold(in, out);
+}
+
+void Run::begin(const Fault& fault, Node& node) {
+  switch (fault.kind) {
+    case FaultKind::kill: node.process->signal(SIGKILL); break;
+    case FaultKind::stop: node.process->signal(SIGSTOP); break;
+    case FaultKind::term: node.process->signal(SIGTERM); break;
+    case FaultKind::cut:
+    case FaultKind::hold: node.held.emplace_back(1, 1); break;
+    case FaultKind::hearsNone: node.held.emplace_back(0, 1); break;
+    case FaultKind::delay:
+      for (Proxy* p : node.out) p->delay(milliseconds(fault.ms));
+      break;
+    case FaultKind::reset:
+      for (Proxy* p : node.out) p->reset();
+      for (Proxy* p : node.in) p->reset();
+      break;
+    case FaultKind::diskFull: node.process->limitFiles(true); break;
+  }
+  setHolds(node);
+}
+
+void Run::end(const Fault& fault, Node& node) {
+  switch (fault.kind) {
+    case FaultKind::kill:
+    case FaultKind::term: restart(node); break;
+    case FaultKind::stop: node.process->signal(SIGCONT); break;
+    case FaultKind::cut:
+      node.held.pop_back();
+      for (Proxy* p : node.out) p->reset();
+      for (Proxy* p : node.in) p->reset();
+      break;
+    case FaultKind::hold:
+    case FaultKind::hearsNone: node.held.pop_back(); break;
+    case FaultKind::delay:
+      for (Proxy* p : node.out) p->delay(milliseconds(0));
+      break;
+    case FaultKind::reset: break;
+    case FaultKind::diskFull:
+      node.process->limitFiles(false);
+      if (!node.process->running()) restart(node);  // a keeper that can't write ends
+      break;
+  }
+  setHolds(node);
+}
+
+void Run::change(const HostChange& change) {
+  const std::uint16_t at = workerLinks_.at(static_cast<std::size_t>(change.worker));
+  discovery_->say("w" + std::to_string(change.worker) + " " + text(at) + " brasov " + change.state);
+  ++version_;
+  hosts_ << json{{"ms", bootMs()},
+                 {"version", version_},
+                 {"port", workerPort_ + change.worker},
+                 {"state", change.state}}
+                .dump()
+         << '\n'
+         << std::flush;
+}
+
+// --- The run
+// ------------------------------------------------------------------------------------------------
+
+std::uint64_t Run::linkBytes() const {
+  std::uint64_t bytes = 0;
+  for (const Proxy* p : fleetLinks_) bytes += p->bytes();
+  return bytes;
+}
+
+void Run::play() {
+  startAll();
+  std::vector<std::uint16_t> gateways;
+  for (int g = 0; g < experiment_.gateways; ++g) gateways.push_back(nodes_["n" + std::to_string(g)].port);
+  load_ = std::make_unique<Load>(io_, gateways, experiment_.rate, options_.seed,
+                                 options_.folder + "/clients.jsonl");
+  began_ = std::chrono::steady_clock::now();
+  const std::int64_t beginMs = bootMs();
+  const std::uint64_t bytesBefore = linkBytes();
+  for (const Fault& fault : experiment_.faults) at(fault.atMs, [this, fault] { inject(fault); });
+  for (const HostChange& c : experiment_.changes) at(c.atMs, [this, c] { change(c); });
+  load_->start();
+  until(milliseconds(experiment_.seconds * 1000), [] { return false; });
+  const double bytesASecond = static_cast<double>(linkBytes() - bytesBefore) / experiment_.seconds;
+  load_->stop();
+  until(Load::kWait + milliseconds(1000), [&] { return load_->idle(); });
+  json run = {
+      {"experiment", experiment_.name},
+      {"seed", options_.seed},
+      {"begin_ms", beginMs},
+      {"end_ms", bootMs()},
+      {"give_up_ms", {{kClasses[0], kGiveUpMs[0]}, {kClasses[1], kGiveUpMs[1]}, {kClasses[2], kGiveUpMs[2]}}},
+      {"alive", json::array()},
+      {"measured", {{"fleet_bytes_a_second", bytesASecond}}}};
+  for (auto& [name, node] : nodes_)
+    if (name.front() == 'n' && node.process->running()) run["alive"].push_back(name);
+  finish();
+  std::ifstream out(options_.folder + "/discovery.out");
+  std::string word;
+  while (out >> word)
+    if (word == "calls" && out >> word) run["measured"]["discovery_calls"] = std::stoull(word);
+  std::ofstream(options_.folder + "/run.json") << run.dump(1) << '\n';
+}
+
+void Run::finish() {
+  over_ = true;
+  timers_.clear();
+  for (auto& [name, node] : nodes_) {
+    node.process->signal(SIGCONT);
+    node.process->signal(SIGTERM);
+  }
+  until(milliseconds(4000), [&] {
+    return std::none_of(nodes_.begin(), nodes_.end(),
+                        [](auto& entry) { return entry.second.process->running(); });
+  });
+  for (auto& [name, node] : nodes_) node.process.reset();
+  for (Process* p : {discovery_.get(), workers_.get()}) {
+    p->signal(SIGTERM);
+    p->wait();
+  }
+  load_.reset();
+}
+
+}  // namespace cairnjunction::lab
--- /dev/null
+++ b/tools/lab/run.hpp
@@ -0,0 +1,90 @@
+// One run of an experiment: starts the processes with links of the lab's own between them, plays the load,
+// injects the plan's faults, and leaves the ledgers in a folder.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "lab/experiment.hpp"
+#include "lab/load.hpp"
+#include "lab/process.hpp"
+#include "lab/proxy.hpp"
+
+namespace cairnjunction::lab {
+
+struct CouldNotRun : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct RunOptions {
+  std::string programs;  // folder of cairnjunction and the others
+  std::string folder;    // empty or to be made; the ledgers go there
+  std::uint64_t seed = 1;
+  std::uint16_t portBase = 20000;  // below the system's own; some hundreds on from there
+};
+
+class Run {
+ public:
+  Run(boost::asio::io_context& io, const Experiment& experiment, const RunOptions& options);
+  ~Run();
+  void play();  // blocks until it is over. Throws CouldNotRun.
+
+ private:
+  struct Node {  // a gateway or keeper
+    std::string name;
+    std::vector<std::string> words;
+    std::unique_ptr<Process> process;
+    std::vector<Proxy*> out, in;  // links that it dials, and that others dial to it
+    std::uint16_t port = 0;
+    bool wanted = true;                     // to be running
+    std::vector<std::pair<int, int>> held;  // holds on its links, by direction: nested faults
+  };
+
+  std::uint16_t port();
+  Proxy* link(std::uint16_t target, std::uint16_t& at);
+  void writeFiles();
+  void startAll();
+  void start(Node& node, const std::string& program);
+  void restart(Node& node);
+  void inject(const Fault& fault);
+  void begin(const Fault& fault, Node& node);
+  void end(const Fault& fault, Node& node);
+  void setHolds(Node& node);
+  std::vector<Node*> whom(const std::string& text);
+  std::string ownerOf(const std::string& duty) const;
+  std::string leader() const;
+  void change(const HostChange& change);
+  void at(std::int64_t ms, std::function<void()> what);
+  bool until(std::chrono::milliseconds most, const std::function<bool()>& done);
+  bool listening(std::uint16_t at);
+  std::vector<std::string> lastLines(const std::string& name) const;
+  std::uint64_t linkBytes() const;
+  void finish();
+
+  boost::asio::io_context& io_;
+  const Experiment experiment_;
+  const RunOptions options_;
+  std::uint16_t nextPort_;
+  std::vector<std::unique_ptr<Proxy>> proxies_;
+  std::vector<Proxy*> fleetLinks_;  // of members to keepers
+  std::map<std::string, Node> nodes_;
+  std::unique_ptr<Process> discovery_, workers_;
+  std::uint16_t discoveryPort_ = 0, workerPort_ = 0;
+  std::vector<std::uint16_t> workerLinks_;
+  std::unique_ptr<Load> load_;
+  std::vector<std::unique_ptr<boost::asio::steady_timer>> timers_;
+  std::chrono::steady_clock::time_point began_;
+  std::ofstream faults_, hosts_;
+  std::int64_t version_ = 1;
+  bool over_ = false;
+};
+
+}  // namespace cairnjunction::lab
--- a/tools/standins/discovery.cpp
+++ b/tools/standins/discovery.cpp
@@ -50,6 +50,7 @@
 
  private:
   void asked() {
+    ++owner_->calls_;
     const std::string target = request_.target().to_string();
     since_ = numberOf(target, "since", -1);
     if (since_ < 0 || since_ < owner_->version_) return answer();
--- a/tools/standins/discovery.hpp
+++ b/tools/standins/discovery.hpp
@@ -23,6 +23,7 @@
   // `state`: SERVING, DRAINING or DELETED. Watches are told at once.
   void set(const std::string& uid, const boost::asio::ip::tcp::endpoint& endpoint, const std::string& zone,
            const std::string& state = "SERVING");
+  std::uint64_t calls() const { return calls_; }  // that came, of whichever kind
   nlohmann::json list() const;  // whole, as it is answered
 
  private:
@@ -33,6 +34,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   nlohmann::json targets_ = nlohmann::json::object();  // by uid
   std::int64_t version_ = 1;
+  std::uint64_t calls_ = 0;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
 };
 
--- a/tools/standins/worker.cpp
+++ b/tools/standins/worker.cpp
@@ -236,6 +236,7 @@
 }
 
 void StandInWorker::submit(Job job) {
+  ledger_.came(listening().port(), job.method, job.ref);
   const double fate = draw();
   if (fate < options_.dropBefore) return job.done(End::dropped);
   if (fate < options_.dropBefore + options_.turnAway || waiting_.size() >= options_.queue)
--- a/tools/worker_main.cpp
+++ b/tools/worker_main.cpp
@@ -42,6 +42,8 @@
       ->check(CLI::Range(0.01, 1.0))
       ->capture_default_str();
   app.add_option("--seed", options.seed, "of what is drawn")->capture_default_str();
+  std::string ledgerFile;
+  app.add_option("--ledger", ledgerFile, "a file for what came and what ran, a line each");
   CLI11_PARSE(app, argc, argv);
   options.workLeast = std::chrono::microseconds(static_cast<std::int64_t>(workLeast * 1000));
   options.workMost =
@@ -50,6 +52,7 @@
   try {
     boost::asio::io_context io(1);
     Ledger ledger;
+    if (!ledgerFile.empty()) ledger.write(ledgerFile);
     std::vector<std::unique_ptr<StandInWorker>> workers;
     for (std::size_t i = 0; i < count; ++i, ++options.seed) {
       const boost::asio::ip::tcp::endpoint at(boost::asio::ip::make_address(address),
