--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -30,10 +30,9 @@
       journal_(settings.log, "member", name),
       source_(textOf(source)),
       timer_(io) {
-  gate_.configure(source_);
   if (known) {
     held_ = *known;
-    gate_.take({source_, known->version, false});
+    gate_.tell(source_, known->version);
   }
   fleet::Member::Events events;
   events.duty = [this](const duty::Key& key, bool owns) { dutyChanged(key, owns); };
@@ -68,7 +67,7 @@
 void FleetLists::decide() {
   if (asks()) {
     if (std::exchange(watching_, true)) return;
-    if (gate_.held() && gate_.held()->source == source_) discovery_.knows(held_.version);
+    if (gate_.held()) discovery_.knows(gate_.held()->version);
     return discovery_.watch();
   }
   if (const auto at = asking_.at()) {
@@ -89,10 +88,14 @@
   if (asks()) discovery_.askBeside();
 }
 
+// One call of each member on the new one, as without a fleet; whoever does not ask hears the owner from there
+// on.
 void FleetLists::moveTo(const boost::asio::ip::tcp::endpoint& source) {
-  source_ = textOf(source);
-  gate_.configure(source_);
-  discovery_.moveTo(source);  // one call; the owner goes on from there, the others are told by it
+  const std::string before = std::exchange(source_, textOf(source));
+  if (before == source_) return;
+  gate_.move(before, source_);
+  watching_ = true;
+  discovery_.moveTo(source);
 }
 
 void FleetLists::discoveryFailed() {
@@ -126,11 +129,9 @@
 
 void FleetLists::fromDiscovery(const HostList& list) {
   failingSince_.reset();
-  const bool same = gate_.held() && gate_.held()->source == source_;
   // What only says that nothing has changed is no news to the others.
-  const bool news = !same || list.full || !list.hosts.empty();
-  anew_ = same && list.version < gate_.held()->version;
-  gate_.take({source_, list.version, anew_});
+  const bool news = !gate_.held() || list.full || !list.hosts.empty();
+  gate_.tell(source_, list.version);
   merge(list);
   if (news) journal_.line("list-told", {{"version", list.version}, {"hosts", held_.hosts.size()}});
   callbacks_.told(list);
@@ -142,7 +143,7 @@
   if (!ownsList() || !gate_.held()) return;
   json body = toJson(held_);
   body["source"] = gate_.held()->source;
-  body["anew"] = anew_;
+  body["era"] = gate_.held()->era;
   if (member_->order(kList, body.dump(), true)) ++handed_;
 }
 
@@ -151,16 +152,18 @@
   try {
     const json body = json::parse(order.body);
     HostList list = parseHostList(body);
-    const fleet::ListMark mark{body.value("source", ""), list.version, body.value("anew", false)};
+    const fleet::ListMark mark{body.value("source", ""), body.value("era", std::uint64_t{0}), list.version};
     list.full = true;
     if (!gate_.take(mark)) {
       ++passedOver_;
       journal_.order("list-passed-over", order.id,
                      {{"version", list.version}, {"held", gate_.held()->version}});
-      return;
+      asking_.onPassedOver(bootTime(), member_->members(),
+                           std::uniform_real_distribution<double>(0, 1)(random_));
+      return decide();
     }
     ++taken_;
-    anew_ = mark.anew;
+    asking_.onTaken(member_->alone());
     merge(list);
     journal_.order("list-taken", order.id, {{"version", list.version}, {"hosts", list.hosts.size()}});
     if (!asks() && std::exchange(watching_, false)) discovery_.stop();
--- a/src/app/fleet.hpp
+++ b/src/app/fleet.hpp
@@ -64,7 +64,6 @@
   fleet::OwnAsking asking_;
   HostList held_;  // whole
   std::string source_;
-  bool anew_ = false;      // of the list held: discovery's count went down
   bool watching_ = false;  // discovery was asked and has not been told to stop
   std::optional<duty::Time> failingSince_;
   std::uint64_t taken_ = 0, passedOver_ = 0, handed_ = 0;
--- a/src/fleet/list_rules.hpp
+++ b/src/fleet/list_rules.hpp
@@ -1,43 +1,59 @@
 // Which list of hosts a member acts on, and when it asks discovery by itself. Decides only: no I/O, no clock.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 #include "duty/duty.hpp"
 
 namespace cairnjunction::fleet {
 
-// A list is named by where it comes from and its number there; numbers of two sources say nothing of each
-// other.
+// How far a list has come: the count of discovery's that it was made under, and its number there. Discovery
+// may be reached at other addresses by other members, so these say nothing; but one that a member was moved
+// away from does.
 struct ListMark {
-  std::string source;
+  std::string source;     // discovery's address, as its caller has it
+  std::uint64_t era = 0;  // grows when discovery begins to count anew, or is another one
   std::int64_t version = 0;
-  bool anew = false;  // discovery began to count anew: its number went down, by its own word
   bool operator==(const ListMark&) const = default;
 };
 
-// Beside the fence, which keeps out old owners: no list undoes what a newer one of its source has told,
-// whoever sends it. Of two sources the one that this member was configured with goes before.
+// Beside the fence, which keeps out old owners: no list undoes what a newer one has told, whoever sends it.
 class ListGate {
  public:
-  void configure(std::string source) { source_ = std::move(source); }
+  static constexpr std::size_t kFormerMost = 8;  // sources that a SIGHUP has taken this member away from
+
   bool take(const ListMark& mark) {
-    if (held_) {
-      const bool same = mark.source == held_->source;
-      if (same && mark.version < held_->version && !mark.anew) return false;
-      if (!same && held_->source == source_) return false;
-    }
+    if (std::find(former_.begin(), former_.end(), mark.source) != former_.end()) return false;
+    if (held_ && std::tie(mark.era, mark.version) < std::tie(held_->era, held_->version)) return false;
     held_ = mark;
     return true;
   }
+  // By a call of this member's own on discovery, whose word goes before what was held: a lower number is a
+  // new count.
+  void tell(const std::string& source, std::int64_t version) {
+    const std::uint64_t era = held_ ? held_->era : 0;
+    const bool anew = std::exchange(moved_, false) || (held_ && version < held_->version);
+    held_ = ListMark{source, era + anew, version};
+  }
+  void move(const std::string& from, const std::string& to) {
+    if (from == to) return;
+    std::erase(former_, to);
+    former_.push_back(from);
+    if (former_.size() > kFormerMost) former_.erase(former_.begin());
+    moved_ = held_.has_value();
+  }
   const std::optional<ListMark>& held() const { return held_; }
 
  private:
-  std::string source_;
+  std::vector<std::string> former_;
   std::optional<ListMark> held_;
+  bool moved_ = false;
 };
 
 // Whoever owns the list, or stands by, asks. Everybody else does once it is alone, after a wait that spreads
@@ -57,6 +73,13 @@
     const double seconds = draw * members / kCallsASecond / (hasList ? 1 : kHurry);
     at_ = now + duty::Time(static_cast<std::int64_t>(seconds * 1000));
   }
+  // A list was no newer than what is held: nobody tells it anything.
+  void onPassedOver(duty::Time now, std::uint32_t members, double draw) {
+    if (!at_) onAlone(true, now, members, true, draw);
+  }
+  void onTaken(bool alone) {
+    if (!alone) at_.reset();
+  }
   bool asks(duty::Time now) const { return owner_ || (at_ && now >= *at_); }
   std::optional<duty::Time> at() const { return owner_ ? std::nullopt : at_; }  // it begins to ask then
 
--- a/tools/lab/checks.cpp
+++ b/tools/lab/checks.cpp
@@ -189,11 +189,23 @@
   return judge.check;
 }
 
+// An experiment that is there to bring old orders must have brought them, or it shows nothing.
+Check oldOrdersCame(const Ledgers& l) {
+  Judge judge("old-orders-came-and-were-refused");
+  for (const auto& [name, lines] : l.members)
+    for (const json& line : lines) judge.check.counted += line.at("event") == "order-refused";
+  const auto least = l.run.value("expect_refused", std::uint64_t{0});
+  if (judge.check.counted < least)
+    judge.broken(std::to_string(judge.check.counted) + " were, and at least " + std::to_string(least) +
+                 " were to come");
+  return judge.check;
+}
+
 }  // namespace
 
 std::vector<Check> judge(const Ledgers& l) {
-  return {oneAnswer(l),       unsafeOnce(l),        drainedQuiet(l),
-          oneOwnerAnEpoch(l), noOlderAfterNewer(l), listsCaughtUp(l)};
+  return {oneAnswer(l),         unsafeOnce(l),    drainedQuiet(l), oneOwnerAnEpoch(l),
+          noOlderAfterNewer(l), listsCaughtUp(l), oldOrdersCame(l)};
 }
 
 std::vector<Span> spans(const Ledgers& l) {
--- a/tools/lab/experiment.cpp
+++ b/tools/lab/experiment.cpp
@@ -14,9 +14,11 @@
 namespace cairnjunction::lab {
 namespace {
 
-constexpr std::array kKinds = {FaultKind::kill,  FaultKind::stop,  FaultKind::term,
-                               FaultKind::cut,   FaultKind::hold,  FaultKind::hearsNone,
-                               FaultKind::delay, FaultKind::reset, FaultKind::diskFull};
+constexpr std::array kKinds = {FaultKind::kill,     FaultKind::stop,     FaultKind::term,
+                               FaultKind::cut,      FaultKind::hold,     FaultKind::hearsNone,
+                               FaultKind::delay,    FaultKind::reset,    FaultKind::diskFull,
+                               FaultKind::holdSent, FaultKind::clockStep};
+constexpr int kStepMost = 86'400'000;  // ms; a day either way
 constexpr int kSecondsMost = 600, kProcessesMost = 400;
 
 [[noreturn]] void fail(const std::string& name, const toml::node& at, const std::string& what) {
@@ -98,12 +100,13 @@
   table.number("election_ms", e.electionMs, 100, 10'000);
   table.number("settle_ms", e.settleMs, 0, 60'000);
   table.number("probe_shards", e.probeShards, 1, 256);
+  table.number("expect_refused", e.expectRefused, 0, 1'000'000);
   table.tables("fault", [&](const toml::table& t) {
     Table row(t, name);
     Fault fault;
     row.number("at_ms", fault.atMs, 0, kSecondsMost * 1000);
     row.number("for_ms", fault.forMs, 0, kSecondsMost * 1000);
-    row.number("ms", fault.ms, 0, 60'000);
+    row.number("ms", fault.ms, -kStepMost, kStepMost);
     fault.kind = kindOf(row.text("kind"), name, t);
     fault.whom = row.text("whom");
     if (fault.whom.empty()) fail(name, t, "a fault needs 'whom'");
@@ -148,6 +151,8 @@
     case FaultKind::delay: return "delay";
     case FaultKind::reset: return "reset";
     case FaultKind::diskFull: return "disk-full";
+    case FaultKind::holdSent: return "hold-sent";
+    case FaultKind::clockStep: return "clock-step";
   }
   return "";
 }
@@ -182,7 +187,7 @@
     fault.kind = kinds[static_cast<std::size_t>(draw(0, static_cast<int>(kinds.size()) - 1))];
     fault.atMs = draw(e.randomFromMs, until);
     fault.forMs = std::min(draw(e.leaseMs / 2, 4 * e.leaseMs), std::max(until - fault.atMs, 200));
-    fault.ms = draw(5, 300);
+    fault.ms = fault.kind == FaultKind::clockStep ? (draw(0, 1) ? 3'600'000 : -3'600'000) : draw(5, 300);
     switch (draw(0, 4)) {
       case 0: fault.whom = "leader"; break;
       case 1: fault.whom = "keeper:" + std::to_string(draw(1, e.keepers)); break;
--- a/tools/lab/experiment.hpp
+++ b/tools/lab/experiment.hpp
@@ -22,12 +22,15 @@
   hearsNone,  // one way: what it sends passes, what is sent to it is held back
   delay,      // each byte on its links comes `ms` later
   reset,      // its links are reset in the middle of what they carry
-  diskFull    // its files can't grow, for `for`
+  diskFull,   // its files can't grow, for `for`
+  holdSent,   // what it sends to keepers is held back, and then delivered; all else passes
+  clockStep   // its wall clock jumps by `ms`, and back after `for`
 };
 const char* nameOf(FaultKind kind);
 
 struct Fault {
-  int atMs = 0, forMs = 0, ms = 0;
+  int atMs = 0, forMs = 0;
+  int ms = 0;  // of a delay, or of a clock's step
   FaultKind kind = FaultKind::kill;
   // owner:DUTY (whoever owns it then), leader, gateway:N, keeper:N, keepers, majority, discovery
   std::string whom;
@@ -46,6 +49,7 @@
   double rate = 100;  // calls a second over all gateways
   int beatMs = 200, leaseMs = 800, aloneMs = 800, electionMs = 300, settleMs = 300;
   int probeShards = 8;
+  int expectRefused = 0;  // orders of old owners that came, and had to be refused, at least
   std::vector<Fault> faults;
   std::vector<HostChange> changes;
   // Drawn by the seed, beside those above.
--- a/tools/lab/process.cpp
+++ b/tools/lab/process.cpp
@@ -16,12 +16,17 @@
 namespace cairnjunction::lab {
 
 Process::Process(const std::string& program, const std::vector<std::string>& arguments,
-                 const std::string& output, bool withInput) {
+                 const std::string& output, bool withInput, const std::vector<std::string>& environment) {
   std::vector<std::string> words{program};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> argv;
   for (std::string& word : words) argv.push_back(word.data());
   argv.push_back(nullptr);
+  std::vector<std::string> own(environment);
+  std::vector<char*> env;
+  for (std::string& word : own) env.push_back(word.data());
+  for (char** word = environ; *word; ++word) env.push_back(*word);
+  env.push_back(nullptr);
   int pipe[2] = {-1, -1};
   if (withInput && ::pipe2(pipe, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
   posix_spawn_file_actions_t actions;
@@ -30,7 +35,7 @@
   else posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
   posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
-  const int failed = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv.data(), environ);
+  const int failed = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv.data(), env.data());
   posix_spawn_file_actions_destroy(&actions);
   if (withInput) ::close(pipe[0]);
   input_ = pipe[1];
--- a/tools/lab/process.hpp
+++ b/tools/lab/process.hpp
@@ -10,9 +10,10 @@
 
 class Process {
  public:
-  // Output and errors are appended to `output`. Throws std::runtime_error if it can't be started.
+  // Output and errors are appended to `output`; `environment` comes before the lab's own. Throws
+  // std::runtime_error if it can't be started.
   Process(const std::string& program, const std::vector<std::string>& arguments, const std::string& output,
-          bool withInput = false);
+          bool withInput = false, const std::vector<std::string>& environment = {});
   ~Process();  // SIGKILL, and waits
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
--- a/tools/lab/run.cpp
+++ b/tools/lab/run.cpp
@@ -173,6 +173,7 @@
       KeeperPorts at{0, keepers[k].raft};
       Proxy* p = link(keepers[k].address, at.address);
       fleetLinks_.push_back(p);
+      node.keepers.push_back(p);
       node.out.push_back(p);
       nodes_["k" + std::to_string(k + 1)].in.push_back(p);
       return at;
@@ -182,8 +183,12 @@
 }
 
 void Run::start(Node& node, const std::string& program) {
-  node.process = std::make_unique<Process>(options_.programs + "/" + program, node.words,
-                                           options_.folder + "/" + node.name + ".out");
+  const std::string clock = options_.folder + "/" + node.name + ".clock";
+  std::ofstream(clock, std::ios::binary).write("\0\0\0\0\0\0\0\0", 8);
+  node.process = std::make_unique<Process>(
+      options_.programs + "/" + program, node.words, options_.folder + "/" + node.name + ".out", false,
+      std::vector<std::string>{"LD_PRELOAD=" + options_.programs + "/libcairnjunction-clock.so",
+                               "LAB_CLOCK=" + clock});
 }
 
 void Run::restart(Node& node) {
@@ -350,20 +355,35 @@
 }
 
 void Run::setHolds(Node& node) {
-  const bool out = std::any_of(node.held.begin(), node.held.end(), [](const auto& h) { return h.first; });
-  const bool in = std::any_of(node.held.begin(), node.held.end(), [](const auto& h) { return h.second; });
-  for (Proxy* p : node.out) p->hold(out, in);
+  const auto any = [&](auto which) { return std::any_of(node.held.begin(), node.held.end(), which); };
+  const bool out = any([](const auto& h) { return h.out && !h.keepersOnly; });
+  const bool in = any([](const auto& h) { return h.in && !h.keepersOnly; });
+  const bool sent = any([](const auto& h) { return h.out; });
+  // Danger: a link that is let go for a moment has delivered.
+  for (Proxy* p : node.out) {
+    const bool toKeeper = std::count(node.keepers.begin(), node.keepers.end(), p) > 0;
+    p->hold(toKeeper ? sent : out, in);
+  }
   for (Proxy* p : node.in) p->hold(in, out);
 }
 
+// The process has the file's first eight bytes in its memory.
+void Run::stepClock(const Node& node, std::int64_t ms) const {
+  std::fstream file(options_.folder + "/" + node.name + ".clock",
+                    std::ios::in | std::ios::out | std::ios::binary);
+  file.write(reinterpret_cast<const char*>(&ms), sizeof ms);
+}
+
 void Run::begin(const Fault& fault, Node& node) {
   switch (fault.kind) {
     case FaultKind::kill: node.process->signal(SIGKILL); break;
     case FaultKind::stop: node.process->signal(SIGSTOP); break;
     case FaultKind::term: node.process->signal(SIGTERM); break;
     case FaultKind::cut:
-    case FaultKind::hold: node.held.emplace_back(1, 1); break;
-    case FaultKind::hearsNone: node.held.emplace_back(0, 1); break;
+    case FaultKind::hold: node.held.push_back({true, true, false}); break;
+    case FaultKind::hearsNone: node.held.push_back({false, true, false}); break;
+    case FaultKind::holdSent: node.held.push_back({true, false, true}); break;
+    case FaultKind::clockStep: stepClock(node, fault.ms); break;
     case FaultKind::delay:
       for (Proxy* p : node.out) p->delay(milliseconds(fault.ms));
       break;
@@ -377,17 +397,25 @@
 }
 
 void Run::end(const Fault& fault, Node& node) {
+  const auto release = [&node](bool out, bool in, bool keepersOnly) {
+    const auto it = std::find_if(node.held.begin(), node.held.end(), [&](const auto& h) {
+      return h.out == out && h.in == in && h.keepersOnly == keepersOnly;
+    });
+    if (it != node.held.end()) node.held.erase(it);
+  };
   switch (fault.kind) {
     case FaultKind::kill:
     case FaultKind::term: restart(node); break;
     case FaultKind::stop: node.process->signal(SIGCONT); break;
     case FaultKind::cut:
-      node.held.pop_back();
+      release(true, true, false);
       for (Proxy* p : node.out) p->reset();
       for (Proxy* p : node.in) p->reset();
       break;
-    case FaultKind::hold:
-    case FaultKind::hearsNone: node.held.pop_back(); break;
+    case FaultKind::hold: release(true, true, false); break;
+    case FaultKind::hearsNone: release(false, true, false); break;
+    case FaultKind::holdSent: release(true, false, true); break;
+    case FaultKind::clockStep: stepClock(node, 0); break;
     case FaultKind::delay:
       for (Proxy* p : node.out) p->delay(milliseconds(0));
       break;
@@ -444,6 +472,7 @@
       {"begin_ms", beginMs},
       {"end_ms", bootMs()},
       {"give_up_ms", {{kClasses[0], kGiveUpMs[0]}, {kClasses[1], kGiveUpMs[1]}, {kClasses[2], kGiveUpMs[2]}}},
+      {"expect_refused", experiment_.expectRefused},
       {"alive", json::array()},
       {"measured", {{"fleet_bytes_a_second", bytesASecond}}}};
   for (auto& [name, node] : nodes_)
--- a/tools/lab/run.hpp
+++ b/tools/lab/run.hpp
@@ -44,8 +44,12 @@
     std::unique_ptr<Process> process;
     std::vector<Proxy*> out, in;  // links that it dials, and that others dial to it
     std::uint16_t port = 0;
-    bool wanted = true;                     // to be running
-    std::vector<std::pair<int, int>> held;  // holds on its links, by direction: nested faults
+    bool wanted = true;           // to be running
+    std::vector<Proxy*> keepers;  // those of `out` that go to keepers
+    struct Hold {
+      bool out, in, keepersOnly;
+    };
+    std::vector<Hold> held;  // of the faults that are on
   };
 
   std::uint16_t port();
@@ -58,6 +62,7 @@
   void begin(const Fault& fault, Node& node);
   void end(const Fault& fault, Node& node);
   void setHolds(Node& node);
+  void stepClock(const Node& node, std::int64_t ms) const;
   std::vector<Node*> whom(const std::string& text);
   std::string ownerOf(const std::string& duty) const;
   std::string leader() const;
