Hosts that can't be reached are probed by one gateway for all; marks are synced by a thread of their own

Need: each of a hundred gateways tried a dead host by itself; and a fence's mark was synced on the thread that serves calls.

The owner of a host's shard goes on probing it by real work and says what is out and what was found; the others leave it to that one, at most ten seconds since their own last try, so that a wrong word keeps a good host out no longer. Found hosts open as after an own probe, cold. Marks go to the disk on another thread, before the effect.

--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -22,7 +22,7 @@
 }  // namespace
 
 FleetLists::FleetLists(boost::asio::io_context& io, const fleet::Settings& settings, const std::string& name,
-                       Discovery& discovery, const boost::asio::ip::tcp::endpoint& source,
+                       Discovery& discovery, Engine& engine, const boost::asio::ip::tcp::endpoint& source,
                        const std::optional<HostList>& known, Callbacks callbacks)
     : io_(io),
       discovery_(discovery),
@@ -36,10 +36,17 @@
   }
   fleet::Member::Events events;
   events.duty = [this](const duty::Key& key, bool owns) { dutyChanged(key, owns); };
-  events.order = [this](const fleet::Order& order) { ordered(order); };
+  events.order = [this](const fleet::Order& order) {
+    ordered(order);
+    if (probing_) probing_->ordered(order);
+  };
   events.joined = [this] { hand(); };  // to a keeper that does not know the list yet
   events.alone = [this] { aloneChanged(); };
   member_ = std::make_unique<fleet::Member>(io_, settings, name, std::move(events), journal_);
+  const duty::Spec* probe = settings.spec(kProbeDuty);
+  probing_ = std::make_unique<FleetProbing>(
+      io_, engine, *member_, probe ? probe->shards : 0,
+      [this](const duty::Key& key, std::string body) { return member_->order(key, std::move(body), false); });
 }
 
 // --- Who asks discovery -----------------------------------------------------------------------------------
@@ -174,10 +181,15 @@
 }
 
 std::vector<std::pair<std::string, std::uint64_t>> FleetLists::figures() const {
-  return {{"fleet.alone", member_->alone()},     {"fleet.joined", member_->joined()},
-          {"fleet.members", member_->members()}, {"fleet.owns_list", ownsList()},
-          {"fleet.asks_discovery", asks()},      {"fleet.orders_refused", member_->refusedOrders()},
-          {"fleet.lists_taken", taken_},         {"fleet.lists_passed_over", passedOver_},
+  return {{"fleet.alone", member_->alone()},
+          {"fleet.joined", member_->joined()},
+          {"fleet.members", member_->members()},
+          {"fleet.owns_list", ownsList()},
+          {"fleet.asks_discovery", asks()},
+          {"fleet.orders_refused", member_->refusedOrders()},
+          {"fleet.hosts_left_to_others", probing_->leftToOthers()},
+          {"fleet.lists_taken", taken_},
+          {"fleet.lists_passed_over", passedOver_},
           {"fleet.lists_handed", handed_}};
 }
 
--- a/src/app/fleet.hpp
+++ b/src/app/fleet.hpp
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "app/fleet_probing.hpp"
 #include "discovery/discovery.hpp"
 #include "fleet/list_rules.hpp"
 #include "fleet/member.hpp"
@@ -33,7 +34,7 @@
 
   // `config`'s discovery is the source that this gateway is configured with; `known` the hosts it has.
   FleetLists(boost::asio::io_context& io, const fleet::Settings& settings, const std::string& name,
-             Discovery& discovery, const boost::asio::ip::tcp::endpoint& source,
+             Discovery& discovery, Engine& engine, const boost::asio::ip::tcp::endpoint& source,
              const std::optional<HostList>& known, Callbacks callbacks);
 
   void subscribe();                          // the module wants the list
@@ -70,6 +71,7 @@
   boost::asio::steady_timer timer_;
   std::mt19937_64 random_{std::random_device{}()};
   std::unique_ptr<fleet::Member> member_;
+  std::unique_ptr<FleetProbing> probing_;  // after the member that it speaks by
   Lifetime lifetime_;
 };
 
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -122,7 +122,7 @@
   if (config.known) discovery_.knows(config.known->version);
   if (fleet)
     fleet_ = std::make_unique<FleetLists>(
-        io, *fleet, config.name, discovery_, config.discovery, config.known,
+        io, *fleet, config.name, discovery_, engine_, config.discovery, config.known,
         FleetLists::Callbacks{
             [this](const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); },
             [this](const std::string& line) { log_(line); }});
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -75,6 +75,13 @@
   void tellHosts(ochrehill::ListKind kind, const std::vector<ochrehill::HostEntry>& entries,
                  const std::function<void()>& before = nullptr);
   void wake();
+  // Of a fleet, as Membership has them; what follows is applied before the next decision.
+  void leaveToOthers(ochrehill::HostId host, ochrehill::Time until) {
+    membership_.leaveToOthers(runtime_.now(), host, until);
+  }
+  void foundByOthers(ochrehill::HostId host, ochrehill::Duration age) {
+    membership_.foundByOthers(runtime_.now(), host, age);
+  }
 
   // New settings; their classes go by `classes()` from now on. Open calls keep theirs. False, and nothing has
   // changed, if there are more classes than the table or the figures have room for. Throws
@@ -83,6 +90,7 @@
   bool mayConfigure(const ochrehill::Settings& settings) const { return nextClasses(settings).has_value(); }
   const ClassTable& classes() const { return classes_; }
   Targets targets() const;
+  ochrehill::Time now() const { return runtime_.now(); }
   const Membership& membership() const { return membership_; }
   const ochrehill::Balancer& balancer() const { return balancer_; }
   ochrehill::HostId findHost(std::string_view address) const { return balancer_.findHost(address); }
--- a/src/duty/fence.hpp
+++ b/src/duty/fence.hpp
@@ -39,6 +39,9 @@
   void learn(const std::map<Key, Mark>& marks);
   Verdict admit(const OrderId& order);  // `taken` moves the mark: persist it before the effect
 
+  // What was admitted since `marks` had no effect, and may come again.
+  void goBack(const std::map<Key, Mark>& marks) { marks_ = marks; }
+
   bool ready() const { return ready_; }
   const std::map<Key, Mark>& marks() const { return marks_; }
   std::uint64_t refused() const { return refused_; }  // all verdicts but `taken`
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -2,6 +2,7 @@
 #include "fleet/member.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 #include "fleet/boot_clock.hpp"
 
@@ -43,6 +44,8 @@
   std::map<Key, duty::Fence::Mark> marks;
   // What the disk knows is learned before the first order. Whoever has no disk waits for the keepers' word.
   if (file_.read(marks)) fence_.learn(marks);
+  durable_ = marks;
+  if (file_.kept()) disk_ = std::make_unique<boost::asio::thread_pool>(1);
   nextKeeper_ = random_() % settings_.keepers.size();
   heardAt_ = bootTime();
   journal_.line("started", {{"incarnation", self_.incarnation}, {"marks", marks.size()}});
@@ -51,6 +54,7 @@
 }
 
 Member::~Member() {
+  if (disk_) disk_->join();
   if (link_) link_->drop();
 }
 
@@ -262,37 +266,49 @@
 
 // --- Orders -----------------------------------------------------------------------------------------------
 
-// Danger: the mark is on the disk before the effect, or there is no effect.
-duty::Verdict Member::admit(const duty::OrderId& id) {
-  duty::Fence next = fence_;
-  const duty::Verdict verdict = next.admit(id);
-  if (verdict == duty::Verdict::taken && !file_.write(next.marks())) {
-    if (std::exchange(tellsDisk_, false)) journal_.order("order-not-taken", id, {{"why", "the disk failed"}});
-    return duty::Verdict::unready;
+// Danger: the mark is on the disk before the effect, or there is no effect. The disk is waited for by a
+// thread of its own: the event loop serves calls.
+void Member::keepThen(Order order) {
+  if (!disk_) {
+    journal_.order("order-taken", order.id);
+    return events_.order(order);
   }
-  if (verdict == duty::Verdict::taken) tellsDisk_ = true;
-  fence_ = std::move(next);
-  return verdict;
+  boost::asio::post(*disk_, [this, file = file_, marks = fence_.marks(), order = std::move(order),
+                             done = lifetime_.guard([this](bool kept, const auto& on, const Order& taken) {
+                               if (!kept) return diskFailed(taken);
+                               durable_ = on;
+                               tellsDisk_ = true;
+                               journal_.order("order-taken", taken.id);
+                               events_.order(taken);
+                             })]() mutable {
+    const bool kept = file.write(marks);
+    boost::asio::post(io_, [done = std::move(done), kept, marks = std::move(marks),
+                            order = std::move(order)]() mutable { done(kept, marks, order); });
+  });
+}
+
+// As if it had not come. The keeper gives the last orders again to whoever joins.
+void Member::diskFailed(const Order& order) {
+  if (std::exchange(tellsDisk_, false))
+    journal_.order("order-not-taken", order.id, {{"why", "the disk failed"}});
+  fence_.goBack(durable_);
+  if (link_) link_->close(LinkEnd::stopped, "the disk failed");
 }
 
 bool Member::order(const Key& key, std::string body, bool keep) {
   if (!joined_ || !link_ || !active_.count(key)) return false;
   const auto id = tenures_[key].order(key, self_, bootTime());
-  if (!id || admit(*id) != duty::Verdict::taken) return false;
-  const Order order{*id, keep, std::move(body)};
+  if (!id || fence_.admit(*id) != duty::Verdict::taken) return false;
+  Order order{*id, keep, std::move(body)};
   journal_.order("order-sent", *id);
   link_->send(order);
-  journal_.order("order-taken", *id);
-  events_.order(order);
+  keepThen(std::move(order));
   return true;
 }
 
 void Member::on(const Order& order) {
-  const duty::Verdict verdict = admit(order.id);
-  if (verdict == duty::Verdict::taken) {
-    journal_.order("order-taken", order.id);
-    return events_.order(order);
-  }
+  const duty::Verdict verdict = fence_.admit(order.id);
+  if (verdict == duty::Verdict::taken) return keepThen(order);
   // The last one again: it is given to whoever joins anew.
   const auto mark = fence_.marks().find(order.id.key);
   const bool seen = mark != fence_.marks().end();
--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -83,7 +84,8 @@
   void watchTenures();
   void heardKeeper();
   void watchAlone();
-  duty::Verdict admit(const duty::OrderId& id);
+  void keepThen(Order order);
+  void diskFailed(const Order& order);
   std::chrono::milliseconds drawn(std::chrono::milliseconds least, std::chrono::milliseconds most);
 
   boost::asio::io_context& io_;
@@ -93,6 +95,8 @@
   Journal& journal_;
   FenceFile file_;
   duty::Fence fence_;
+  std::map<duty::Key, duty::Fence::Mark> durable_;  // what of it is on the disk
+  std::unique_ptr<boost::asio::thread_pool> disk_;  // its one thread waits for the disk; null: no disk
   std::map<duty::Key, duty::Tenure> tenures_;
   std::map<duty::Key, duty::Epoch> active_;  // told by events_.duty, under this epoch
   std::shared_ptr<Link> link_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -138,6 +138,7 @@
     case Outcome::moot: break;
   }
   if (probe && h->out) {
+    h->triedAt = now;
     // Only what says something of the host makes the next probe later.
     const bool tells = result.outcome == Outcome::reset || result.outcome == Outcome::timeout ||
                        result.fault == Fault::refused || result.fault == Fault::dialSilent;
@@ -176,7 +177,8 @@
   h.out = true;
   h.crowded = h.probing = false;
   h.probes = 0;
-  h.outAt = now;
+  h.outAt = h.triedAt = now;
+  h.othersUntil = Time{};
   schedule(h, now);
   tell(h, Reach::closed);
 }
@@ -191,6 +193,26 @@
   tell(h, Reach::open, now - h.outAt);
 }
 
+void Membership::leaveToOthers(Time now, HostId host, Time until) {
+  Host* h = find(host);
+  if (!h || !h->out) return;
+  const Time most = h->triedAt + scaled(settings_.othersMost, 0.5 + 0.5 * settings_.spread);
+  h->othersUntil = std::max(now, std::min(until, most));
+}
+
+// It opens as after an own probe: what answers where one refused is a new process, and cold.
+void Membership::foundByOthers(Time now, HostId host, Duration age) {
+  Host* h = find(host);
+  if (h && h->out && !h->probing && now - age > h->triedAt) bringBack(*h, now);
+}
+
+std::vector<Membership::Out> Membership::outHosts() const {
+  std::vector<Out> all;
+  for (HostId id = 0; id < hosts_.size(); ++id)
+    if (hosts_[id].out && hosts_[id].phase == Phase::in) all.push_back({id, hosts_[id].outAt});
+  return all;
+}
+
 void Membership::schedule(Host& h, Time now) {
   const bool silent = h.why == Reason::dialSilent;
   h.probeAt = now + (silent ? doubled(settings_.silentFirst, h.probes, settings_.silentMost)
@@ -214,7 +236,9 @@
   for (std::size_t i = 0; i < hosts_.size() && probeTokens_ >= 1; ++i) {
     const std::size_t at = (begin + i) % hosts_.size();
     Host& h = hosts_[at];
-    if (!h.out || h.phase != Phase::in || h.reach != Reach::closed || h.probing || now < h.probeAt) continue;
+    if (!h.out || h.phase != Phase::in || h.reach != Reach::closed || h.probing ||
+        now < std::max(h.probeAt, h.othersUntil))
+      continue;
     probeTokens_ -= 1;
     first_ = at + 1;
     tell(h, Reach::probe);
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -67,6 +67,10 @@
     // So many turned away on end, over at least this time with nothing served, are no short peak.
     int turnedAwayRow = 8;
     ochrehill::Duration turnedAwayFor = std::chrono::milliseconds(500);
+    // Of a fleet: how long another gateway's word stands in for own probes of a host at most, since this
+    // gateway last tried it. Whoever is wrong, or lies, keeps a host out no longer; drawn down to half by
+    // `spread`.
+    ochrehill::Duration othersMost = std::chrono::seconds(10);
     // The list is doubted once a host that it has serving can't be reached, or turns all away, for so long;
     ochrehill::Duration doubtAfter = std::chrono::milliseconds(400);
     // asked about again after this, and each further time after twice as long,
@@ -104,6 +108,15 @@
   void onSent(ochrehill::HostId host, ochrehill::RequestId request, std::uint32_t attempt);
   void onAttempt(ochrehill::Time now, const ochrehill::AttemptResult& result);
   void forget(ochrehill::HostId host);
+  // Of a fleet: another gateway tries this host for all until then, and says what it finds.
+  void leaveToOthers(ochrehill::Time now, ochrehill::HostId host, ochrehill::Time until);
+  // It was found taking connections so long ago. What this gateway saw later by itself goes before.
+  void foundByOthers(ochrehill::Time now, ochrehill::HostId host, ochrehill::Duration age);
+  struct Out {
+    ochrehill::HostId host = ochrehill::kNone;
+    ochrehill::Time since{};
+  };
+  std::vector<Out> outHosts() const;  // listed to serve, and unreachable
   // What falls due by time: probes. Wanted every 100 ms or so; extra calls do no harm.
   void onTime(ochrehill::Time now);
 
@@ -139,6 +152,7 @@
     Reason why = Reason::refused;
     int probes = 0;  // that failed
     ochrehill::Time outAt{}, probeAt{}, refusedAt{}, startedAfter{};
+    ochrehill::Time triedAt{}, othersUntil{};  // by this gateway, last; by others
     ochrehill::RequestId probeRequest = 0;
     std::uint32_t probeAttempt = 0;
     ochrehill::Reach reach = ochrehill::Reach::open;  // as the module was told
