--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -188,6 +188,7 @@
           {"fleet.asks_discovery", asks()},
           {"fleet.orders_refused", member_->refusedOrders()},
           {"fleet.hosts_left_to_others", probing_->leftToOthers()},
+          {"fleet.probes", probing_->probes()},
           {"fleet.lists_taken", taken_},
           {"fleet.lists_passed_over", passedOver_},
           {"fleet.lists_handed", handed_}};
--- a/src/app/fleet_probing.hpp
+++ b/src/app/fleet_probing.hpp
@@ -34,7 +34,8 @@
                std::function<bool(const duty::Key&, std::string)> word);
 
   void ordered(const fleet::Order& order);
-  std::uint64_t leftToOthers() const { return left_; }  // turns of hosts
+  std::uint64_t leftToOthers() const { return left_; }                    // turns of hosts
+  std::uint64_t probes() const { return engine_.membership().probes(); }  // of this gateway, by real work
 
  private:
   void turn();
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -240,6 +240,7 @@
         now < std::max(h.probeAt, h.othersUntil))
       continue;
     probeTokens_ -= 1;
+    ++probesOffered_;
     first_ = at + 1;
     tell(h, Reach::probe);
   }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -132,6 +132,7 @@
   ochrehill::Duration listAge(ochrehill::Time now) const;        // since discovery last spoke, by any answer
   std::vector<Named> named() const;                              // by the list: serving or draining
   std::size_t listed() const;                                    // told to serve
+  std::uint64_t probes() const { return probesOffered_; }        // offered since the start
   std::size_t unreachable() const;                               // of these
 
  private:
@@ -173,6 +174,7 @@
   std::vector<Host> hosts_;  // by HostId: these are small numbers, and given out again
   std::vector<Change> changes_;
   double probeTokens_ = 1;
+  std::uint64_t probesOffered_ = 0;
   ochrehill::Time tokensAt_{}, listAt_{}, doubtAt_{};
   int doubts_ = 0;         // on end
   std::size_t first_ = 0;  // the host at which the next round of probes begins
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -421,5 +421,49 @@
   EXPECT_LT(asked[1], asked[2]);
 }
 
+// --- Of a fleet -------------------------------------------------------------------------------------------
+
+TEST_F(MembershipTest, AHostLeftToOthersIsNotTriedUntilTheirWordIsOldAndNeverForLong) {
+  settings.spread = 1;
+  beliefs = std::make_unique<Membership>(settings);
+  list(2);
+  attempt(0, Outcome::connectFailed, Fault::refused);
+  const Time out = now;
+  const auto wait = [&](ochrehill::Duration time) {
+    for (const Time end = now + time; now < end; now += 50ms) beliefs->onTime(now);
+    take();
+  };
+  // Whatever is said, also on and on: after the bound it is tried by this gateway itself.
+  while (probes[0] == 0 && now < out + 60s) {
+    beliefs->leaveToOthers(now, 0, now + 5s);
+    wait(200ms);
+  }
+  EXPECT_GE(now - out, settings.othersMost);
+  EXPECT_LE(now - out, settings.othersMost + 1s);
+  attempt(0, Outcome::connectFailed, Fault::refused);
+  beliefs->leaveToOthers(now, 0, now + 1s);
+  wait(900ms);
+  EXPECT_EQ(probes[0], 1);
+  wait(2s);
+  EXPECT_EQ(probes[0], 2) << "their word is old";
+}
+
+TEST_F(MembershipTest, AHostFoundByOthersOpensColdUnlessItWasSeenOutLater) {
+  list(2);
+  attempt(0, Outcome::connectFailed, Fault::refused);
+  const Time refused = now;
+  now += 3s;
+  beliefs->foundByOthers(now, 0, 4s);
+  take();
+  EXPECT_EQ(reach[0], Reach::closed) << "found before it refused here";
+  beliefs->foundByOthers(now, 0, 1s);
+  take();
+  EXPECT_EQ(reach[0], Reach::open);
+  EXPECT_EQ(startedAfter[0], refused) << "a new process, by the cold rule";
+  beliefs->foundByOthers(now, 1, 0s);
+  beliefs->foundByOthers(now, 77, 0s);
+  EXPECT_TRUE(beliefs->takeChanges().empty()) << "one that is not out, and one that is not known";
+}
+
 }  // namespace
 }  // namespace cairnjunction
--- a/tools/lab/checks.hpp
+++ b/tools/lab/checks.hpp
@@ -24,7 +24,7 @@
 struct Gap {
   std::string duty;
   std::int64_t atMs = 0, ms = 0;
-  std::string after;  // kill, stop, ..., or "released"
+  std::string after;  // the fault that silenced its owner, or why that one ended it
 };
 std::vector<Gap> gaps(const Ledgers& ledgers);
 
@@ -33,6 +33,7 @@
   std::string member, duty;
   std::int64_t beginMs = 0, endMs = 0;
   std::uint64_t shard = 0, epoch = 0;
+  std::string why = {};  // it ended
 };
 std::vector<Span> spans(const Ledgers& ledgers);
 
--- a/tools/lab/experiment.cpp
+++ b/tools/lab/experiment.cpp
@@ -14,10 +14,11 @@
 namespace cairnjunction::lab {
 namespace {
 
-constexpr std::array kKinds = {FaultKind::kill,     FaultKind::stop,     FaultKind::term,
-                               FaultKind::cut,      FaultKind::hold,     FaultKind::hearsNone,
-                               FaultKind::delay,    FaultKind::reset,    FaultKind::diskFull,
-                               FaultKind::holdSent, FaultKind::clockStep};
+// `refuse`, of workers only, stands last and is not drawn.
+constexpr std::array kKinds = {FaultKind::kill,     FaultKind::stop,      FaultKind::term,
+                               FaultKind::cut,      FaultKind::hold,      FaultKind::hearsNone,
+                               FaultKind::delay,    FaultKind::reset,     FaultKind::diskFull,
+                               FaultKind::holdSent, FaultKind::clockStep, FaultKind::refuse};
 constexpr int kStepMost = 86'400'000;  // ms; a day either way
 constexpr int kSecondsMost = 600, kProcessesMost = 400;
 
@@ -93,6 +94,7 @@
   table.number("workers", e.workers, 1, kProcessesMost);
   table.flag("fleet", e.fleet);
   table.flag("disks", e.disks);
+  table.flag("probing", e.probing);
   table.number("rate", e.rate);
   table.number("beat_ms", e.beatMs, 50, 10'000);
   table.number("lease_ms", e.leaseMs, 200, 60'000);
@@ -152,6 +154,7 @@
     case FaultKind::reset: return "reset";
     case FaultKind::diskFull: return "disk-full";
     case FaultKind::holdSent: return "hold-sent";
+    case FaultKind::refuse: return "refuse";
     case FaultKind::clockStep: return "clock-step";
   }
   return "";
@@ -179,7 +182,7 @@
     return std::uniform_int_distribution<int>(least, most)(random);
   };
   const std::vector<FaultKind> kinds =
-      e.randomKinds.empty() ? std::vector<FaultKind>(kKinds.begin(), kKinds.end()) : e.randomKinds;
+      e.randomKinds.empty() ? std::vector<FaultKind>(kKinds.begin(), kKinds.end() - 1) : e.randomKinds;
   // The last part of the run is calm, so that what does not return shows.
   const int calm = 4 * e.leaseMs + 3000, until = std::max(e.seconds * 1000 - calm, e.randomFromMs + 1);
   for (int i = 0; i < e.randomFaults; ++i) {
--- a/tools/lab/experiment.hpp
+++ b/tools/lab/experiment.hpp
@@ -24,6 +24,7 @@
   reset,      // its links are reset in the middle of what they carry
   diskFull,   // its files can't grow, for `for`
   holdSent,   // what it sends to keepers is held back, and then delivered; all else passes
+  refuse,     // of a worker: its link takes no connections, and those that are there are reset
   clockStep   // its wall clock jumps by `ms`, and back after `for`
 };
 const char* nameOf(FaultKind kind);
@@ -32,7 +33,8 @@
   int atMs = 0, forMs = 0;
   int ms = 0;  // of a delay, or of a clock's step
   FaultKind kind = FaultKind::kill;
-  // owner:DUTY (whoever owns it then), leader, gateway:N, keeper:N, keepers, majority, discovery
+  // owner:DUTY (whoever owns it then), leader, gateway:N, keeper:N, keepers, majority, gateways:SHARE,
+  // worker:N
   std::string whom;
 };
 
@@ -44,9 +46,10 @@
 struct Experiment {
   std::string name;
   int seconds = 10, gateways = 5, keepers = 3, workers = 4;
-  bool fleet = true;  // false: each gateway by itself, as without a fleet file
-  bool disks = true;  // of the gateways' fences
-  double rate = 100;  // calls a second over all gateways
+  bool fleet = true;    // false: each gateway by itself, as without a fleet file
+  bool disks = true;    // of the gateways' fences
+  bool probing = true;  // by one for all
+  double rate = 100;    // calls a second over all gateways
   int beatMs = 200, leaseMs = 800, aloneMs = 800, electionMs = 300, settleMs = 300;
   int probeShards = 8;
   int expectRefused = 0;  // orders of old owners that came, and had to be refused, at least
--- a/tools/lab/load.cpp
+++ b/tools/lab/load.cpp
@@ -29,7 +29,7 @@
   Call(Load& l, std::size_t g) : load(l), socket(l.io_), timer(l.io_), gateway(g) {}
 
   void start() {
-    timer.expires_after(kWait);
+    timer.expires_after(load.wait_);
     timer.async_wait([self = shared_from_this()](error_code ec) {
       if (!ec) self->end("no answer in time");
     });
@@ -69,12 +69,13 @@
 };
 
 Load::Load(boost::asio::io_context& io, std::vector<std::uint16_t> gateways, double rate, std::uint64_t seed,
-           const std::string& ledger)
+           const std::string& ledger, std::chrono::milliseconds wait)
     : io_(io),
       gateways_(std::move(gateways)),
       rate_(rate),
       random_(seed),
       ledger_(ledger),
+      wait_(wait),
       timer_(io),
       due_(Clock::now()) {}
 
--- a/tools/lab/proxy.cpp
+++ b/tools/lab/proxy.cpp
@@ -125,9 +125,10 @@
 
 Proxy::Proxy(boost::asio::io_context& io, std::uint16_t listen, std::uint16_t target)
     : io_(io),
-      acceptor_(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), listen)),
+      acceptor_(io),
+      listen_(boost::asio::ip::make_address("127.0.0.1"), listen),
       target_(boost::asio::ip::make_address("127.0.0.1"), target) {
-  accept();
+  refuse(false);
 }
 
 Proxy::~Proxy() {
@@ -157,6 +158,18 @@
 
 void Proxy::delay(std::chrono::milliseconds by) { delay_ = by; }
 
+void Proxy::refuse(bool on) {
+  if (on) {
+    acceptor_.close();
+    return reset();
+  }
+  acceptor_.open(listen_.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(listen_);
+  acceptor_.listen();
+  accept();
+}
+
 void Proxy::reset() {
   for (const auto& connection : std::set<std::shared_ptr<Connection>>(connections_))
     connection->resetInTheMiddle();
--- a/tools/lab/proxy.hpp
+++ b/tools/lab/proxy.hpp
@@ -26,7 +26,8 @@
   // connections.
   void hold(bool out, bool in);
   void delay(std::chrono::milliseconds by);
-  void reset();  // all connections; a chunk that waits is written to its half before
+  void refuse(bool on);  // no connections any more, and those that are there are reset; or again
+  void reset();          // all connections; a chunk that waits is written to its half before
 
   std::uint64_t bytes() const { return bytes_; }  // passed on, both ways
   std::size_t connections() const { return connections_.size(); }
@@ -37,7 +38,7 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  const boost::asio::ip::tcp::endpoint target_;
+  const boost::asio::ip::tcp::endpoint listen_, target_;
   std::set<std::shared_ptr<Connection>> connections_;
   bool holdOut_ = false, holdIn_ = false;
   std::chrono::milliseconds delay_{0};
--- a/tools/lab_main.cpp
+++ b/tools/lab_main.cpp
@@ -83,6 +83,11 @@
   running->add_flag("--no-fleet", words.noFleet, "each gateway by itself, to compare with");
   running->add_option("--programs", words.options.programs, "folder of the other programs")
       ->capture_default_str();
+  running
+      ->add_option("--late-ms", words.options.lateMs,
+                   "beyond a client's time, before an answer counts as none")
+      ->check(CLI::Range(100, 60'000))
+      ->capture_default_str();
   running->add_option("--port-base", words.options.portBase, "first port to try")->capture_default_str();
   CLI::App* checking = app.add_subcommand("check-ledgers", "judge the ledgers of a run again");
   checking->add_option("DIR", words.folder, "the run's folder")->required();
