--- a/src/agreement/raft_log.cpp
+++ b/src/agreement/raft_log.cpp
@@ -29,8 +29,8 @@
   return buffer;
 }
 
-// The first entry of the log names all keepers with an address, and must be the same at each; where each reaches the
-// others is its own matter, so this one only has an address's form.
+// The first entry of the log names all keepers with an address, and must be the same at each; where each
+// reaches the others is its own matter, so this one only has an address's form.
 std::string nameOnTheLog(int number) { return "127.0.0.1:" + std::to_string(number); }
 
 struct Proposal {
@@ -146,7 +146,8 @@
     int bad = 0;
     for (const auto& [number, at] : options.keepers)
       if (!bad)
-        bad = raft_configuration_add(&voters, static_cast<raft_id>(number), nameOnTheLog(number).c_str(), RAFT_VOTER);
+        bad = raft_configuration_add(&voters, static_cast<raft_id>(number), nameOnTheLog(number).c_str(),
+                                     RAFT_VOTER);
     if (!bad) bad = raft_bootstrap(&raft_, &voters);
     raft_configuration_close(&voters);
     if (bad && bad != RAFT_CANTBOOTSTRAP) failed("not set up", bad);
--- a/tests/fleet/rig.hpp
+++ b/tests/fleet/rig.hpp
@@ -71,10 +71,17 @@
 
   void SetUp() override {
     std::filesystem::create_directories(dir);
-    std::vector<std::unique_ptr<tcp::acceptor>> held;
-    for (int i = 0; i < 6; ++i) {
-      held.push_back(std::make_unique<tcp::acceptor>(io, loopback()));
-      ports.push_back(held.back()->local_endpoint().port());
+    // Below the system's own ports, which connections of other tests are given; a keeper comes back to its
+    // own.
+    static unsigned short next = 11000;
+    while (ports.size() < 6) {
+      tcp::acceptor probe(io);
+      probe.open(tcp::v4());
+      probe.set_option(tcp::acceptor::reuse_address(true));
+      error_code ec;
+      probe.bind(loopback(next), ec);
+      if (!ec) ports.push_back(next);
+      ++next;
     }
     std::ofstream(dir + "fleet.toml") << fileText();
   }
--- a/tools/lab/process.cpp
+++ b/tools/lab/process.cpp
@@ -9,6 +9,8 @@
 #include <unistd.h>
 
 #include <cstring>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 extern char** environ;
@@ -85,4 +87,19 @@
   ::prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr);
 }
 
+// The 14th and 15th words of its stat, behind the name in parentheses.
+std::int64_t Process::cpuMs() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+  std::string text;
+  std::getline(file, text);
+  const std::size_t name = text.rfind(')');
+  if (name == std::string::npos) return 0;
+  std::istringstream words(text.substr(name + 1));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) words >> skipped;
+  std::int64_t user = 0, system = 0;
+  words >> user >> system;
+  return (user + system) * 1000 / ::sysconf(_SC_CLK_TCK);
+}
+
 }  // namespace cairnjunction::lab
--- a/tools/lab/process.hpp
+++ b/tools/lab/process.hpp
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
   int wait();                               // for its end: the exit code, or minus the signal
   void say(const std::string& line) const;  // to its input
   void limitFiles(bool full) const;         // its files can't grow, or may again
+  std::int64_t cpuMs() const;               // of processor time so far; 0 if it has ended
   pid_t id() const { return pid_; }
   int code() const { return code_; }
 
--- a/tools/lab/run.cpp
+++ b/tools/lab/run.cpp
@@ -82,6 +82,7 @@
     error_code ec;
     tcp::acceptor probe(io_);
     probe.open(tcp::v4());
+    probe.set_option(tcp::acceptor::reuse_address(true));  // one that an earlier run has just left is free
     probe.bind({boost::asio::ip::make_address("127.0.0.1"), nextPort_}, ec);
     if (!ec) return nextPort_++;
   }
@@ -493,6 +494,13 @@
   return sums;
 }
 
+std::int64_t Run::gatewayCpuMs() const {
+  std::int64_t ms = 0;
+  for (const auto& [name, node] : nodes_)
+    if (name.front() == 'n' && node.process) ms += node.process->cpuMs();
+  return ms;
+}
+
 std::uint64_t Run::linkBytes() const {
   std::uint64_t bytes = 0;
   for (const Proxy* p : fleetLinks_) bytes += p->bytes();
@@ -509,11 +517,13 @@
   began_ = std::chrono::steady_clock::now();
   const std::int64_t beginMs = bootMs();
   const std::uint64_t bytesBefore = linkBytes();
+  const std::int64_t cpuBefore = gatewayCpuMs();
   for (const Fault& fault : experiment_.faults) at(fault.atMs, [this, fault] { inject(fault); });
   for (const HostChange& c : experiment_.changes) at(c.atMs, [this, c] { change(c); });
   load_->start();
   until(milliseconds(experiment_.seconds * 1000), [] { return false; });
   const double bytesASecond = static_cast<double>(linkBytes() - bytesBefore) / experiment_.seconds;
+  const std::int64_t cpuMs = gatewayCpuMs() - cpuBefore;
   load_->stop();
   until(milliseconds(kGiveUpMs[1] + options_.lateMs + 2000), [&] { return load_->idle(); });
   json run = {
@@ -525,7 +535,7 @@
       {"expect_refused", experiment_.expectRefused},
       {"late_ms", options_.lateMs},
       {"alive", json::array()},
-      {"measured", {{"fleet_bytes_a_second", bytesASecond}}}};
+      {"measured", {{"fleet_bytes_a_second", bytesASecond}, {"gateways_cpu_ms", cpuMs}}}};
   for (auto& [name, node] : nodes_)
     if (name.front() == 'n' && node.process->running()) run["alive"].push_back(name);
   for (const auto& [name, sum] : doorFigures()) run["measured"][name] = sum;
--- a/tools/lab/run.hpp
+++ b/tools/lab/run.hpp
@@ -73,6 +73,7 @@
   bool listening(std::uint16_t at);
   std::vector<std::string> lastLines(const std::string& name) const;
   std::uint64_t linkBytes() const;
+  std::int64_t gatewayCpuMs() const;
   std::map<std::string, std::uint64_t> doorFigures();
   void finish();
 
--- a/tools/standins/discovery.hpp
+++ b/tools/standins/discovery.hpp
@@ -24,7 +24,7 @@
   void set(const std::string& uid, const boost::asio::ip::tcp::endpoint& endpoint, const std::string& zone,
            const std::string& state = "SERVING");
   std::uint64_t calls() const { return calls_; }  // that came, of whichever kind
-  nlohmann::json list() const;  // whole, as it is answered
+  nlohmann::json list() const;                    // whole, as it is answered
 
  private:
   class Connection;
--- a/tools/standins/ledger.hpp
+++ b/tools/standins/ledger.hpp
@@ -13,8 +13,8 @@
 
 class Ledger {
  public:
-  // From now on a line for each call that comes to a worker, and for each that is run. Both have the time since the
-  // machine's boot in ms.
+  // From now on a line for each call that comes to a worker, and for each that is run. Both have the time
+  // since the machine's boot in ms.
   void write(const std::string& path) { file_.open(path, std::ios::app); }
   void came(unsigned short port, const std::string& method, const std::string& ref) {
     if (file_.is_open()) line("came", method, ref, port);
@@ -35,8 +35,8 @@
   void line(const char* event, const std::string& method, const std::string& ref, unsigned short port) {
     timespec now{};
     ::clock_gettime(CLOCK_BOOTTIME, &now);
-    file_ << event << ' ' << now.tv_sec * 1000 + now.tv_nsec / 1'000'000 << ' ' << port << ' ' << method << ' '
-          << (ref.empty() ? "-" : ref) << '\n'
+    file_ << event << ' ' << now.tv_sec * 1000 + now.tv_nsec / 1'000'000 << ' ' << port << ' ' << method
+          << ' ' << (ref.empty() ? "-" : ref) << '\n'
           << std::flush;
   }
 
