Entries of the keepers' log are padded to eight bytes, as the library reads them

Seen under the address sanitizer: keepers ended with a read past an entry's end inside the library, in the test of killed leaders. Checked: the library pads what it stores to eight bytes and copies received entries by that length; ours had any length. Ruled out: our buffers' sizes (allocated as told) and their lifetime (the library's own). Each entry now has its length before it and zeros behind it.

--- a/src/agreement/raft_log.cpp
+++ b/src/agreement/raft_log.cpp
@@ -9,6 +9,7 @@
 }
 
 #include <boost/asio/post.hpp>
+#include <cstdint>
 #include <cstring>
 #include <stdexcept>
 #include <utility>
@@ -22,13 +23,30 @@
 // Of a stop: so long the other keepers have to take over the lead.
 constexpr std::chrono::milliseconds kHandOver{500};
 
-raft_buffer copied(std::string_view bytes) {
-  raft_buffer buffer{raft_malloc(std::max<std::size_t>(bytes.size(), 8)), bytes.size()};
+// Danger: the library pads what it stores to eight bytes, and copies entries that it received as if they had
+// been padded by whoever proposed them: with others it reads past their ends. So each has its length before
+// it, and zeros behind it.
+constexpr std::size_t kAlign = 8;
+
+raft_buffer padded(std::string_view bytes) {
+  const std::uint64_t size = bytes.size();
+  const std::size_t whole = (sizeof size + bytes.size() + kAlign - 1) / kAlign * kAlign;
+  raft_buffer buffer{raft_calloc(1, whole), whole};
   if (!buffer.base) throw std::bad_alloc();
-  std::memcpy(buffer.base, bytes.data(), bytes.size());
+  std::memcpy(buffer.base, &size, sizeof size);
+  std::memcpy(static_cast<char*>(buffer.base) + sizeof size, bytes.data(), bytes.size());
   return buffer;
 }
 
+// Empty for what padded() did not make; the machine judges what it is given.
+std::string_view unpadded(const raft_buffer& buffer) {
+  std::uint64_t size = 0;
+  if (buffer.len < sizeof size) return {};
+  std::memcpy(&size, buffer.base, sizeof size);
+  if (size > buffer.len - sizeof size) return {};
+  return {static_cast<const char*>(buffer.base) + sizeof size, static_cast<std::size_t>(size)};
+}
+
 // The first entry of the log names all keepers with an address, and must be the same at each; where each
 // reaches the others is its own matter, so this one only has an address's form.
 std::string nameOnTheLog(int number) { return "127.0.0.1:" + std::to_string(number); }
@@ -112,19 +130,19 @@
     fsm.version = 1;
     fsm.data = this;
     fsm.apply = [](raft_fsm* f, const raft_buffer* buffer, void**) {
-      self(f).machine.apply({static_cast<const char*>(buffer->base), buffer->len});
+      self(f).machine.apply(unpadded(*buffer));
       return 0;
     };
     fsm.snapshot = [](raft_fsm* f, raft_buffer** buffers, unsigned* count) {
       *buffers = static_cast<raft_buffer*>(raft_malloc(sizeof(raft_buffer)));
       if (!*buffers) return RAFT_NOMEM;
-      **buffers = copied(self(f).machine.snapshot());
+      **buffers = padded(self(f).machine.snapshot());
       *count = 1;
       return 0;
     };
     fsm.restore = [](raft_fsm* f, raft_buffer* buffer) {
       try {
-        self(f).machine.restore({static_cast<const char*>(buffer->base), buffer->len});
+        self(f).machine.restore(unpadded(*buffer));
       } catch (const std::invalid_argument& bad) {
         self(f).broken = bad.what();
         return RAFT_CORRUPT;
@@ -221,7 +239,7 @@
   auto proposal = std::make_unique<Proposal>();
   proposal->done = std::move(done);
   proposal->request.data = proposal.get();
-  raft_buffer buffer = copied(entry);
+  raft_buffer buffer = padded(entry);
   const int bad = raft_apply(&state_->raft_, &proposal->request, &buffer, 1,
                              [](struct raft_apply* request, int status, void*) {
                                const std::unique_ptr<Proposal> own(static_cast<Proposal*>(request->data));
