--- a/tests/fleet/keepers_test.cpp
+++ b/tests/fleet/keepers_test.cpp
@@ -2,6 +2,8 @@
 // keeper's path is the first argument.
 #include <fcntl.h>
 
+#include <boost/asio/read.hpp>
+
 #include "fleet/boot_clock.hpp"
 #include "rig.hpp"
 
@@ -196,6 +198,15 @@
       until([&] { return members["a"]->lastEnd().find("in use by another process") != std::string::npos; }));
   first.reset();
   ASSERT_TRUE(until([&] { return members["a"]->joined(); }));
+  // A process of another version, in its own words.
+  tcp::socket other(io);
+  other.connect({asio::ip::make_address("127.0.0.1"), ports[static_cast<std::size_t>(leader() - 1)]});
+  asio::write(other, asio::buffer(*fleet::encode(fleet::Hello{99, "yard", {"new", 1}, "", true})));
+  std::string told;
+  bool closed = false;
+  asio::async_read(other, asio::dynamic_buffer(told), [&](error_code, std::size_t) { closed = true; });
+  ASSERT_TRUE(until([&] { return closed; }));
+  EXPECT_NE(told.find("protocol 99, this keeper speaks 1"), std::string::npos) << told;
   // Bytes that are no frame: of every length a header may claim, and a word of another kind.
   for (const std::string& bytes :
        {std::string(1000, '\xff'), std::string("GET / HTTP/1.1\r\n\r\n"), std::string(64, '\0'),
