--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -12,6 +12,10 @@
   "$programs/cairnjunction-lab" run "$runs/$name.toml" --report "$runs/$name" "$@" >"$runs/$name.json" ||
     echo "$name: a promise was broken, or it could not run"
 }
+# Times as the fleet file has them by default; the lab's own are shorter.
+times="beat_ms = 1000
+lease_ms = 3000
+alone_after_ms = 3000"
 figure() { sed -n "s/^ *\"$2\": \([0-9.]*\),*$/\1/p" "$runs/$1.json" | head -n1; }
 
 for part in $parts; do
@@ -42,13 +46,11 @@
     calls)  # on discovery by a hundred gateways
       for fleet in "" --no-fleet; do
         # shellcheck disable=SC2086
-        lab "calls$fleet" 'name = "calls"
+        lab "calls$fleet" "name = \"calls\"
 seconds = 40
 gateways = 100
 rate = 100
-beat_ms = 1000
-lease_ms = 3000
-alone_after_ms = 3000' $fleet
+$times" $fleet
         echo "calls on discovery by 100 gateways in 40 s, ${fleet:-with the fleet}: $(figure "calls$fleet" discovery_calls)"
       done
       ;;
@@ -66,9 +68,7 @@
 gateways = $n
 workers = 4
 rate = 0
-beat_ms = 1000
-lease_ms = 3000
-alone_after_ms = 3000"
+$times"
         lab "rest-$n-off" "name = \"rest\"
 seconds = 20
 gateways = $n
@@ -81,12 +81,10 @@
       for round in 1 2 3; do
         for fleet in "" --no-fleet; do
           # shellcheck disable=SC2086
-          lab "cost$fleet-$round" 'name = "cost"
+          lab "cost$fleet-$round" "name = \"cost\"
 seconds = 15
 rate = 1500
-beat_ms = 1000
-lease_ms = 3000
-alone_after_ms = 3000' --seed "$round" $fleet
+$times" --seed "$round" $fleet
           echo "cost ${fleet:-with the fleet} $round: calls $(figure "cost$fleet-$round" calls), cpu ms $(figure "cost$fleet-$round" gateways_cpu_ms), p50 $(figure "cost$fleet-$round" served_ms_p50), p99 $(figure "cost$fleet-$round" served_ms_p99)"
         done
       done
--- a/src/agreement/identity.hpp
+++ b/src/agreement/identity.hpp
@@ -27,7 +27,6 @@
   // What another keeper tells of itself. Empty: it is who it was, and that is on the disk now. Otherwise why
   // it must not vote. Throws BadLog if the disk fails.
   std::string judge(int number, const Mark& told);
-  const std::map<int, Mark>& peers() const { return peers_; }
 
  private:
   void write() const;
--- a/src/agreement/raft_log.cpp
+++ b/src/agreement/raft_log.cpp
@@ -230,8 +230,6 @@
   return static_cast<int>(id);
 }
 
-std::uint64_t RaftLog::lastIndex() const { return raft_last_index(&state_->raft_); }
-
 void RaftLog::onChange(std::function<void()> changed) { state_->changed = std::move(changed); }
 
 void RaftLog::propose(std::string entry, Done done) {
--- a/src/agreement/raft_log.hpp
+++ b/src/agreement/raft_log.hpp
@@ -37,8 +37,6 @@
   void onChange(std::function<void()> changed) override;
   void stop(std::function<void()> done) override;
 
-  std::uint64_t lastIndex() const;  // of the entries on this keeper's disk
-
  private:
   struct State;  // of the library
   std::unique_ptr<State> state_;
--- a/src/app/demo.cpp
+++ b/src/app/demo.cpp
@@ -13,6 +13,7 @@
 #include "config/routes_file.hpp"
 #include "route/router.hpp"
 #include "standins/discovery.hpp"
+#include "standins/gateway_config.hpp"
 #include "standins/worker.hpp"
 
 namespace cairnjunction {
@@ -22,38 +23,6 @@
 using asio::ip::tcp;
 using nlohmann::json;
 
-json classOf(const char* name, const char* effect, int aimMs, int giveUpMs, double worth) {
-  return {{"name", name},
-          {"effect", effect},
-          {"group", "zone"},
-          {"points", worth},
-          {"aimNs", aimMs * 1'000'000LL},
-          {"giveUpNs", giveUpMs * 1'000'000LL},
-          {"windowNs", 2'000'000'000}};
-}
-
-json demoConfig(const std::string& listen, const std::string& discovery) {
-  return {{"name", "demo"},
-          {"listen", listen},
-          {"discovery", discovery},
-          {"limits", {{"sockets", 1024}, {"memory_mb", 192}}},
-          {"settings",
-           {{"zone", "brasov"},
-            {"registryMode", "ask"},
-            {"stepNs", 5'000'000},
-            {"ceilings",
-             {{"cancel", true},
-              {"maxAttempts", 6},
-              {"retryAfter", true},
-              {"maxRetryAfterNs", 1'000'000'000},
-              {"idleCloseNs", 15'000'000'000},
-              {"connectTimeoutNs", 250'000'000}}},
-            {"rules", {{"askWithinNs", 30'000'000'000}}},
-            {"grades",
-             {classOf("cut-plan", "retryable", 600, 1200, 12), classOf("stock-out", "fragile", 400, 2000, 1),
-              classOf("log-in", "dedup", 400, 1000, 1)}}}}};
-}
-
 json demoJsonRpc(const std::string& listen, bool workers) {
   return {
       {"listen", listen},
@@ -61,10 +30,6 @@
       {"workers", {{"protocol", workers ? "json-rpc" : "http"}}}};
 }
 
-std::string textOf(const tcp::endpoint& at) {
-  return at.address().to_string() + ":" + std::to_string(at.port());
-}
-
 }  // namespace
 
 int runDemo(const DemoOptions& options, std::ostream& out) {
@@ -82,7 +47,8 @@
     workers.push_back(std::make_unique<standins::StandInWorker>(io, any, work, ledger));
     discovery.set("s-" + std::to_string(i), workers.back()->listening(), i % 2 ? "cluj" : "brasov");
   }
-  json file = demoConfig(host + std::to_string(options.http), textOf(discovery.listening()));
+  json file =
+      standins::gatewayConfig("demo", host + std::to_string(options.http), textOf(discovery.listening()));
   file["known"] = discovery.list();
   Config config = parseConfig(file, [](const char*) { return nullptr; });
   jsonrpc::Settings settings =
--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -15,18 +15,13 @@
 
 const duty::Key kList{kListDuty, 0}, kStandby{kStandbyDuty, 0};
 
-std::string textOf(const boost::asio::ip::tcp::endpoint& at) {
-  return at.address().to_string() + ":" + std::to_string(at.port());
-}
-
 }  // namespace
 
 FleetLists::FleetLists(boost::asio::io_context& io, const fleet::Settings& settings, const std::string& name,
                        Discovery& discovery, Engine& engine, const boost::asio::ip::tcp::endpoint& source,
-                       const std::optional<HostList>& known, Callbacks callbacks)
-    : io_(io),
-      discovery_(discovery),
-      callbacks_(std::move(callbacks)),
+                       const std::optional<HostList>& known, std::function<void(const HostList&)> told)
+    : discovery_(discovery),
+      told_(std::move(told)),
       journal_(settings.log, "member", name),
       source_(textOf(source)),
       timer_(io) {
@@ -42,10 +37,10 @@
   };
   events.joined = [this] { hand(); };  // to a keeper that does not know the list yet
   events.alone = [this] { aloneChanged(); };
-  member_ = std::make_unique<fleet::Member>(io_, settings, name, std::move(events), journal_);
+  member_ = std::make_unique<fleet::Member>(io, settings, name, std::move(events), journal_);
   const duty::Spec* probe = settings.spec(kProbeDuty);
   probing_ = std::make_unique<FleetProbing>(
-      io_, engine, *member_, probe ? probe->shards : 0,
+      io, engine, *member_, probe ? probe->shards : 0,
       [this](const duty::Key& key, std::string body) { return member_->order(key, std::move(body), false); });
 }
 
@@ -112,8 +107,7 @@
     if (member_->owns(key)) member_->giveBack(key, true);
 }
 
-// --- Lists
-// --------------------------------------------------------------------------------------------------
+// --- Lists ------------------------------------------------------------------------------------------------
 
 void FleetLists::merge(const HostList& list) {
   if (list.full) {
@@ -141,7 +135,7 @@
   gate_.tell(source_, list.version);
   merge(list);
   if (news) journal_.line("list-told", {{"version", list.version}, {"hosts", held_.hosts.size()}});
-  callbacks_.told(list);
+  told_(list);
   if (news) hand();
 }
 
@@ -174,7 +168,7 @@
     merge(list);
     journal_.order("list-taken", order.id, {{"version", list.version}, {"hosts", list.hosts.size()}});
     if (!asks() && std::exchange(watching_, false)) discovery_.stop();
-    callbacks_.told(held_);
+    told_(held_);
   } catch (const std::exception& bad) {  // of another version, or nonsense: the list held stays
     journal_.order("list-unreadable", order.id, {{"why", bad.what()}});
   }
--- a/src/app/fleet.hpp
+++ b/src/app/fleet.hpp
@@ -27,24 +27,21 @@
   // An owner whose calls on discovery fail for so long gives the duty to another one.
   static constexpr duty::Time kFailMost{5000};
 
-  struct Callbacks {
-    std::function<void(const HostList&)> told;  // a whole list, or changes by the gateway's own discovery
-    std::function<void(const std::string&)> log;
-  };
-
-  // `config`'s discovery is the source that this gateway is configured with; `known` the hosts it has.
+  // `source` is the discovery that this gateway is configured with; `known` the hosts it has. `told` is given
+  // whole lists, and changes by the gateway's own discovery.
   FleetLists(boost::asio::io_context& io, const fleet::Settings& settings, const std::string& name,
              Discovery& discovery, Engine& engine, const boost::asio::ip::tcp::endpoint& source,
-             const std::optional<HostList>& known, Callbacks callbacks);
+             const std::optional<HostList>& known, std::function<void(const HostList&)> told);
 
   void subscribe();                          // the module wants the list
   void doubted();                            // what it says is not what is seen
   void fromDiscovery(const HostList& list);  // by the gateway's own calls
   void discoveryFailed();
   void moveTo(const boost::asio::ip::tcp::endpoint& source);  // discovery is another one from now on
-  void leave(std::function<void()> done) { member_->leave(std::move(done)); }
+  void leave() {
+    member_->leave([] {});
+  }  // others take over what it owned
 
-  const fleet::Member& member() const { return *member_; }
   bool asks() const;  // by itself
   std::vector<std::pair<std::string, std::uint64_t>> figures() const;
 
@@ -57,9 +54,8 @@
   bool ownsList() const { return member_ && member_->owns({kListDuty, 0}); }
   void merge(const HostList& list);
 
-  boost::asio::io_context& io_;
   Discovery& discovery_;
-  Callbacks callbacks_;
+  std::function<void(const HostList&)> told_;
   fleet::Journal journal_;
   fleet::ListGate gate_;
   fleet::OwnAsking asking_;
--- a/src/app/fleet_probing.cpp
+++ b/src/app/fleet_probing.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "duty/hash.hpp"
 #include "fleet/boot_clock.hpp"
 
 namespace cairnjunction {
@@ -17,10 +18,8 @@
   if (shards_ > 0) turn();
 }
 
-// The same at each gateway, whatever it was built with.
 std::uint32_t FleetProbing::shardOf(const std::string& uid) const {
-  std::uint64_t h = 1469598103934665603ull;
-  for (const unsigned char c : uid) h = (h ^ c) * 1099511628211ull;
+  const std::uint64_t h = duty::stableHash(uid);
   return static_cast<std::uint32_t>((h ^ (h >> 32)) % shards_);
 }
 
@@ -35,20 +34,16 @@
     return row;
   };
   std::map<std::string, duty::Time> outHere;
-  for (const Membership::Out& out : engine_.membership().outHosts()) {
-    const std::string uid = engine_.balancer().address(out.host);
+  for (const ochrehill::HostId out : engine_.membership().outHosts()) {
+    const std::string uid = engine_.balancer().address(out);
     const std::uint32_t shard = shardOf(uid);
-    if (member_.owns({kProbeDuty, shard})) {
-      engine_.leaveToOthers(out.host, {});
-      if (outHere.size() >= kHostsMost) continue;
+    const bool mine = member_.owns({kProbeDuty, shard});
+    if (mine || !together) engine_.leaveToOthers(out, {});
+    if (mine && outHere.size() < kHostsMost) {
       outHere[uid] = now;
       say(shard)["out"].push_back(uid);
-      continue;
-    }
-    if (!together) {
-      engine_.leaveToOthers(out.host, {});
-      continue;
     }
+    if (mine || !together) continue;
     // From now by the module's clock: until the owner's word is stale, or it has had its time for a first
     // one.
     const auto heard = heardOut_.find(uid);
@@ -56,7 +51,7 @@
     outHere[uid] = first;
     const duty::Time until = heard == heardOut_.end() ? first + kFirst : heard->second + kFresh;
     if (until <= now) continue;
-    engine_.leaveToOthers(out.host, engine_.now() + (until - now));
+    engine_.leaveToOthers(out, engine_.now() + (until - now));
     ++left_;
   }
   for (const auto& [uid, at] : outHere_)
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -121,11 +121,8 @@
   }
   if (config.known) discovery_.knows(config.known->version);
   if (fleet)
-    fleet_ = std::make_unique<FleetLists>(
-        io, *fleet, config.name, discovery_, engine_, config.discovery, config.known,
-        FleetLists::Callbacks{
-            [this](const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); },
-            [this](const std::string& line) { log_(line); }});
+    fleet_ = std::make_unique<FleetLists>(io, *fleet, config.name, discovery_, engine_, config.discovery,
+                                          config.known, [this](const HostList& list) { told(list); });
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
   if (config.mgmt)
@@ -195,7 +192,7 @@
 
 void Gateway::fromDiscovery(const HostList& list) {
   if (fleet_) fleet_->fromDiscovery(list);
-  else told(list, list.full ? ListKind::replace : ListKind::update);
+  else told(list);
 }
 
 void Gateway::discoveryFailed() {
@@ -205,6 +202,8 @@
 
 // --- Hosts ----------------------------------------------------------------------------------------------
 
+void Gateway::told(const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); }
+
 void Gateway::told(const HostList& list, ListKind kind) {
   std::vector<ochrehill::HostEntry> entries;
   for (const ListedHost& host : list.hosts) {
@@ -308,7 +307,7 @@
   if (draining_) return;
   draining_ = true;
   drained_ = std::move(done);
-  if (fleet_) fleet_->leave([] {});  // others take over what it owned, while it serves on
+  if (fleet_) fleet_->leave();
   // Where the listening socket is shared, the next process serves already, and clients are sent to it.
   // Where deadlines leave no time to serve on, they are sent away at once too.
   if (shared_ || serveOn() <= kAcceptOn) http_.server().lastAnswers();
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -81,6 +81,7 @@
   void log(const std::string& line) override { log_(line); }
 
   ochrehill::Time moduleTime(std::int64_t unixMs) const;
+  void told(const HostList& list);
   void told(const HostList& list, ochrehill::ListKind kind);
   std::unique_ptr<HostUpstream> makeUpstream(const Config& config);
   void fromDiscovery(const HostList& list);
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -158,7 +158,7 @@
   if (kind != Kind::list)
     target += "?since=" + std::to_string(*version_) + "&timeout_ms=" + std::to_string(wait.count());
   call->request = {http::verb::get, target, 11};
-  call->request.set(http::field::host, server.address().to_string() + ":" + std::to_string(server.port()));
+  call->request.set(http::field::host, textOf(server));
   call->start(kind, wait + waits_.late, wait + waits_.answer);
 }
 
--- a/src/discovery/host_list.cpp
+++ b/src/discovery/host_list.cpp
@@ -21,6 +21,10 @@
   return {address, port};
 }
 
+std::string textOf(const boost::asio::ip::tcp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
 HostList parseHostList(const nlohmann::json& json) {
   try {
     HostList list;
@@ -54,17 +58,16 @@
 nlohmann::json toJson(const HostList& list) {
   nlohmann::json targets = nlohmann::json::array();
   for (const ListedHost& host : list.hosts)
-    targets.push_back(
-        {{"uid", host.uid},
-         {"endpoint", host.endpoint.address().to_string() + ":" + std::to_string(host.endpoint.port())},
-         {"az", host.zone},
-         {"model", host.kind},
-         {"pod_group", host.cell},
-         {"state", host.state == HostState::serving    ? "SERVING"
-                   : host.state == HostState::draining ? "DRAINING"
-                                                       : "DELETED"},
-         {"capacity_hint", host.weight},
-         {"boot_ms", host.bootMs}});
+    targets.push_back({{"uid", host.uid},
+                       {"endpoint", textOf(host.endpoint)},
+                       {"az", host.zone},
+                       {"model", host.kind},
+                       {"pod_group", host.cell},
+                       {"state", host.state == HostState::serving    ? "SERVING"
+                                 : host.state == HostState::draining ? "DRAINING"
+                                                                     : "DELETED"},
+                       {"capacity_hint", host.weight},
+                       {"boot_ms", host.bootMs}});
   return {{"rev", list.version}, {"all", list.full}, {"targets", std::move(targets)}};
 }
 
--- a/src/discovery/host_list.hpp
+++ b/src/discovery/host_list.hpp
@@ -33,5 +33,6 @@
 // Both throw std::invalid_argument on nonsense.
 HostList parseHostList(const nlohmann::json& json);
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view text);  // "127.0.0.1:8080"
+std::string textOf(const boost::asio::ip::tcp::endpoint& at);         // and back
 
 }  // namespace cairnjunction
--- a/src/duty/fence.hpp
+++ b/src/duty/fence.hpp
@@ -31,6 +31,9 @@
     Epoch epoch = 0;
     Sequence sequence = 0;
     Member from;  // who sent the last order; no name: known from the keepers only
+    // For another process than the one that took these orders: what the last one did ended with that process,
+    // so it is due once more, and none before it.
+    Mark beforeLast() const { return {epoch, sequence > 0 ? sequence - 1 : 0, from}; }
     bool operator==(const Mark&) const = default;
   };
 
--- a/src/duty/picker.cpp
+++ b/src/duty/picker.cpp
@@ -5,13 +5,14 @@
 #include <map>
 #include <tuple>
 
+#include "duty/hash.hpp"
+
 namespace cairnjunction::duty {
 namespace {
 
-// The same at each keeper and build, unlike std::hash: a new leader goes on as the last one did.
+// A new leader goes on as the last one did.
 std::uint64_t mix(const std::string& text, std::uint64_t salt) {
-  std::uint64_t h = 1469598103934665603ull ^ salt;
-  for (const unsigned char c : text) h = (h ^ c) * 1099511628211ull;
+  const std::uint64_t h = stableHash(text, salt);
   return h ^ (h >> 29);
 }
 
--- a/src/duty/picker.hpp
+++ b/src/duty/picker.hpp
@@ -22,8 +22,6 @@
 
 struct Candidate {  // a member that is connected and willing
   Member member;
-  std::string zone;
-  Time since{};  // it is connected; log's time
 };
 
 // The grants that are due at `now`, at most one for each key. A member that was passed over gets one only
--- a/src/duty/tenure.hpp
+++ b/src/duty/tenure.hpp
@@ -27,14 +27,12 @@
     const Time until = askedAt + lease - lease / kDriftPart;
     if (until <= until_ || over_) return;
     until_ = until;
-    renewAt_ = askedAt + lease / 3;
   }
   // Given back, taken away, or found to be somebody else's. Only another epoch begins it anew.
   void end() { over_ = true; }
 
   bool mayAct(Time now) const { return epoch_ > 0 && !over_ && now < until_; }
   bool held() const { return epoch_ > 0 && !over_; }  // as far as it knows; mayAct says whether it counts
-  Time renewAt() const { return renewAt_; }
   Time until() const { return until_; }
   Epoch epoch() const { return epoch_; }
   Sequence sequence() const { return sequence_; }  // of the last order
@@ -48,7 +46,7 @@
  private:
   Epoch epoch_ = 0;
   Sequence sequence_ = 0;
-  Time until_{}, renewAt_{};
+  Time until_{};
   bool over_ = false;
 };
 
--- a/src/fleet/control.cpp
+++ b/src/fleet/control.cpp
@@ -16,15 +16,19 @@
 using boost::system::error_code;
 using nlohmann::json;
 
-struct Control::Caller : std::enable_shared_from_this<Control::Caller> {
+struct Control::Caller {
   stream_protocol::socket socket;
   boost::asio::steady_timer timer;
+  std::function<void()> over;  // its end, whichever way, makes room for another one
   std::string text;
-  explicit Caller(stream_protocol::socket s) : socket(std::move(s)), timer(socket.get_executor()) {}
+
+  Caller(stream_protocol::socket s, std::function<void()> o)
+      : socket(std::move(s)), timer(socket.get_executor()), over(std::move(o)) {}
+  ~Caller() { over(); }
 };
 
 Control::Control(boost::asio::io_context& io, const std::string& path, Answer answer)
-    : io_(io), path_(path), acceptor_(io), answer_(std::move(answer)) {
+    : path_(path), acceptor_(io), answer_(std::move(answer)) {
   ::unlink(path.c_str());
   // Nobody else may connect, from the first moment on.
   const mode_t before = ::umask(0177);
@@ -48,13 +52,7 @@
     const bool known = ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0;
     if (!known || (peer.uid != 0 && peer.uid != ::geteuid()) || callers_ >= kCallersMost) return;
     ++callers_;
-    // Its end, whichever way, makes room for another one.
-    const std::shared_ptr<Caller> caller(
-        new Caller(std::move(socket)),
-        [this, alive = lifetime_.guard([this] { --callers_; })](Caller* over) mutable {
-          delete over;
-          alive();
-        });
+    const auto caller = std::make_shared<Caller>(std::move(socket), lifetime_.guard([this] { --callers_; }));
     caller->timer.expires_after(kPatience);
     caller->timer.async_wait([weak = std::weak_ptr<Caller>(caller)](error_code stopped) {
       const auto c = weak.lock();
--- a/src/fleet/control.hpp
+++ b/src/fleet/control.hpp
@@ -31,7 +31,6 @@
   struct Caller;
   void accept();
 
-  boost::asio::io_context& io_;
   std::string path_;
   boost::asio::local::stream_protocol::acceptor acceptor_;
   Answer answer_;
--- a/src/fleet/journal.cpp
+++ b/src/fleet/journal.cpp
@@ -9,6 +9,8 @@
 
 namespace cairnjunction::fleet {
 
+nlohmann::json fieldsOf(const duty::Key& key) { return {{"duty", key.duty}, {"shard", key.shard}}; }
+
 Journal::Journal(const std::string& file, const char* role, std::string self)
     : role_(role), self_(std::move(self)) {
   spdlog::sink_ptr sink;
@@ -36,8 +38,7 @@
 }
 
 void Journal::order(std::string_view event, const duty::OrderId& id, nlohmann::json fields) {
-  fields["duty"] = id.key.duty;
-  fields["shard"] = id.key.shard;
+  fields.update(fieldsOf(id.key));
   fields["epoch"] = id.epoch;
   fields["sequence"] = id.sequence;
   fields["from"] = id.from.name;
--- a/src/fleet/journal.hpp
+++ b/src/fleet/journal.hpp
@@ -16,6 +16,8 @@
 
 namespace cairnjunction::fleet {
 
+nlohmann::json fieldsOf(const duty::Key& key);  // duty and shard, as they stand in lines
+
 class Journal {
  public:
   // Of what may come at a peer's pace; what is left out is counted in the next line that is written.
--- a/src/fleet/keeper.cpp
+++ b/src/fleet/keeper.cpp
@@ -20,16 +20,13 @@
 constexpr Time kSpreadEvery{1000};
 constexpr std::chrono::milliseconds kAcceptAgain{100};
 
-json keyJson(const duty::Key& key) { return {{"duty", key.duty}, {"shard", key.shard}}; }
-
 }  // namespace
 
 void RegistryMachine::apply(std::string_view entry) {
   try {
     last_ = registry_.apply(duty::decode(entry));
-  } catch (const std::invalid_argument&) {
+  } catch (const std::invalid_argument&) {  // of another format; passed over, by all keepers alike
     last_ = {duty::Refusal::nonsense, {}};
-    ++unreadable_;
   }
 }
 
@@ -38,7 +35,6 @@
   duty::Member member;  // no name: not greeted yet
   std::string zone;
   bool willing = false, joined = false, gone = false;
-  Time since{};
   std::optional<std::int64_t> stamp;  // of its last beat
 };
 
@@ -181,11 +177,10 @@
 // After the member's own `joined` on the log: it names every epoch that was granted before.
 void Keeper::welcome(const SessionPtr& session) {
   session->joined = true;
-  session->since = logNow();
   Welcome word{number_, static_cast<std::uint32_t>(members_.size()), {}};
   for (const auto& [key, holding] : machine_.registry().holdings())
     // The last order that its owner told of is still due to this member.
-    word.marks[key] = {holding.epoch, holding.sequence > 0 ? holding.sequence - 1 : 0, {}};
+    word.marks[key] = duty::Fence::Mark{holding.epoch, holding.sequence, {}}.beforeLast();
   session->link->send(word);
   for (const auto& [key, kept] : kept_) session->link->send(kept.frame);
   journal_.line("member-joined", {{"name", session->member.name},
@@ -226,7 +221,7 @@
   propose(duty::Released{back.key, back.epoch, session->member, back.failed},
           [this, session, back](const duty::Outcome& outcome) {
             if (outcome.refusal != duty::Refusal::none) return;
-            json fields = keyJson(back.key);
+            json fields = fieldsOf(back.key);
             fields.update({{"name", session->member.name}, {"epoch", back.epoch}, {"failed", back.failed}});
             journal_.line("given-back", fields);
             grantWhatIsFree();
@@ -252,8 +247,7 @@
   if (!leads() || logNow() - base_ < settings_.settle) return;
   std::vector<duty::Candidate> candidates;
   for (const auto& [name, session] : members_)
-    if (session->joined && session->willing && session->stamp)
-      candidates.push_back({session->member, session->zone, session->since});
+    if (session->joined && session->willing && session->stamp) candidates.push_back({session->member});
   for (const duty::Granted& grant : duty::pick(machine_.registry(), settings_.duties, candidates, logNow())) {
     const SessionPtr session = sessionOf(grant.member);
     if (!session || !granting_.insert(grant.key).second) continue;
@@ -267,7 +261,7 @@
     propose(grant, [this, grant, session, askedAt, why](const duty::Outcome& outcome) {
       granting_.erase(grant.key);
       if (outcome.held.empty()) return;
-      json fields = keyJson(grant.key);
+      json fields = fieldsOf(grant.key);
       fields.update({{"name", grant.member.name},
                      {"incarnation", grant.member.incarnation},
                      {"epoch", outcome.held[0].epoch},
@@ -401,13 +395,12 @@
   const Time now = leads() ? logNow() : machine_.registry().now();
   for (const auto& [key, holding] : machine_.registry().holdings()) {
     const bool held = holding.heldAt(now);
-    rows.push_back({{"duty", key.duty},
-                    {"shard", key.shard},
-                    {"owner", held ? json(holding.owner.name) : json(nullptr)},
-                    {"epoch", holding.epoch},
-                    {"left_ms", held ? (holding.until - now).count() : 0},
-                    {"why", duty::nameOf(held ? duty::Why::vacant : holding.why)}});
-    if (held) rows.back().erase("why");
+    json row = fieldsOf(key);
+    row.update({{"owner", held ? json(holding.owner.name) : json(nullptr)},
+                {"epoch", holding.epoch},
+                {"left_ms", held ? (holding.until - now).count() : 0}});
+    if (!held) row["why"] = duty::nameOf(holding.why);
+    rows.push_back(std::move(row));
   }
   return rows;
 }
--- a/src/fleet/keeper.hpp
+++ b/src/fleet/keeper.hpp
@@ -31,12 +31,10 @@
 
   const duty::Registry& registry() const { return registry_; }
   const duty::Outcome& last() const { return last_; }  // of the entry that was applied just now
-  std::uint64_t unreadable() const { return unreadable_; }
 
  private:
   duty::Registry registry_;
   duty::Outcome last_;
-  std::uint64_t unreadable_ = 0;  // entries of another format; passed over, by all keepers alike
 };
 
 class Keeper {
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -59,7 +59,6 @@
   bool isUp() const { return up_; }
   std::uint64_t bytesIn() const { return bytesIn_; }
   std::uint64_t bytesOut() const { return bytesOut_; }
-  std::size_t queued() const { return queued_; }
 
  private:
   Link(boost::asio::io_context& io, boost::asio::ip::tcp::socket socket, const Limits& limits,
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -15,8 +15,10 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-json keyJson(const Key& key, duty::Epoch epoch) {
-  return {{"duty", key.duty}, {"shard", key.shard}, {"epoch", epoch}};
+json fieldsOf(const Key& key, duty::Epoch epoch) {
+  json fields = fleet::fieldsOf(key);
+  fields["epoch"] = epoch;
+  return fields;
 }
 
 std::uint64_t drawnSeed() {
@@ -44,9 +46,7 @@
   std::map<Key, duty::Fence::Mark> marks;
   // What the disk knows is learned before the first order. Whoever has no disk waits for the keepers' word.
   if (file_.read(marks)) {
-    // What the last order of each key did ended with the last process: that one is due once more, an older
-    // one is not.
-    for (auto& [key, mark] : marks) mark.sequence -= mark.sequence > 0;
+    for (auto& [key, mark] : marks) mark = mark.beforeLast();
     fence_.learn(marks);
   }
   durable_ = marks;
@@ -200,7 +200,7 @@
     lost(grant.key, active_[grant.key], "older");
   if (grant.epoch == before || active_.count(grant.key)) return;
   active_[grant.key] = grant.epoch;
-  journal_.line("duty-begun", keyJson(grant.key, grant.epoch));
+  journal_.line("duty-begun", fieldsOf(grant.key, grant.epoch));
   beatAt(bootTime());  // its lease counts from a beat of some time ago
   events_.duty(grant.key, true);
 }
@@ -210,7 +210,7 @@
   if (it == active_.end() || it->second != epoch) return;
   if (tenures_[key].epoch() == epoch) tenures_[key].end();
   active_.erase(it);
-  json fields = keyJson(key, epoch);
+  json fields = fieldsOf(key, epoch);
   fields["why"] = why;
   journal_.line("duty-ended", fields);
   events_.duty(key, false);
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -2,91 +2,28 @@
 #include "fleet/settings.hpp"
 
 #include <algorithm>
-#include <fstream>
-#include <functional>
 #include <set>
-#include <sstream>
 
 #include "discovery/host_list.hpp"
 
-#define TOML_HEADER_ONLY 1
-#include <toml++/toml.h>
-
 namespace cairnjunction::fleet {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::int64_t kMembersMost = 10'000, kShardsMost = 256;
+constexpr int kMembersMost = 10'000, kShardsMost = 256;
 // Of a lease: an owner that misses one beat, and the next one's answer, still has it.
 constexpr int kBeatsInLease = 3;
 
-class Reader {
- public:
-  Reader(const toml::table& table, std::string what, std::string name)
-      : table_(table), what_(std::move(what)), name_(std::move(name)) {}
-
-  [[noreturn]] void fail(const toml::node* node, const std::string& problem) const {
-    std::ostringstream text;
-    text << name_;
-    const toml::source_region& at = node ? node->source() : table_.source();
-    if (at.begin.line) text << ":" << at.begin.line;
-    text << ": " << what_ << problem;
-    throw BadSettings(text.str());
-  }
-  const toml::node* find(const char* key) {
-    known_.insert(key);
-    return table_.get(key);
-  }
-  std::string text(const char* key, const char* otherwise = nullptr) {
-    const toml::node* node = find(key);
-    if (!node && otherwise) return otherwise;
-    if (!node) fail(nullptr, std::string("'") + key + "' is missing");
-    const auto value = node->value_exact<std::string>();
-    if (!value) fail(node, std::string("'") + key + "' is not a text");
-    if (value->size() > duty::kNameMost * 8) fail(node, std::string("'") + key + "' is too long");
-    return *value;
-  }
-  std::string name(const char* key) {
-    const std::string value = text(key);
-    if (value.empty() || value.size() > duty::kNameMost)
-      fail(find(key), std::string("'") + key + "' needs 1 to " + std::to_string(duty::kNameMost) + " bytes");
-    return value;
-  }
-  std::int64_t number(const char* key, std::int64_t least, std::int64_t most, std::int64_t otherwise) {
-    const toml::node* node = find(key);
-    if (!node) return otherwise;
-    const auto value = node->value_exact<std::int64_t>();
-    if (!value || *value < least || *value > most)
-      fail(node, std::string("'") + key + "' is no number from " + std::to_string(least) + " to " +
-                     std::to_string(most));
-    return *value;
-  }
-  bool flag(const char* key, bool otherwise) {
-    const toml::node* node = find(key);
-    if (!node) return otherwise;
-    const auto value = node->value_exact<bool>();
-    if (!value) fail(node, std::string("'") + key + "' is neither true nor false");
-    return *value;
-  }
-  void tables(const char* key, const std::function<void(const toml::table&)>& each) {
-    const toml::node* node = find(key);
-    if (!node) return;
-    const toml::array* array = node->as_array();
-    if (!array || !array->is_homogeneous<toml::table>())
-      fail(node, std::string("'") + key + "' is not given as [[" + key + "]]");
-    for (const toml::node& element : *array) each(*element.as_table());
-  }
-  void finish() const {
-    for (const auto& [key, node] : table_)
-      if (!known_.count(std::string(key.str()))) fail(&node, "unknown key '" + std::string(key.str()) + "'");
-  }
+using tomlfile::Reader;
 
- private:
-  const toml::table& table_;
-  std::string what_, name_;
-  std::set<std::string> known_;
-};
+std::string nameAt(Reader& reader, const char* key) {
+  const std::string value = reader.text(key);
+  if (value.empty() || value.size() > duty::kNameMost)
+    reader.fail(reader.find(key),
+                std::string("'") + key + "' needs 1 to " + std::to_string(duty::kNameMost) + " bytes");
+  return value;
+}
 
 boost::asio::ip::tcp::endpoint endpointOf(Reader& reader, const char* key) {
   try {
@@ -112,7 +49,7 @@
 duty::Spec dutyOf(const toml::table& table, const std::string& name, milliseconds beat) {
   Reader reader(table, "[[duty]]: ", name);
   duty::Spec spec;
-  spec.duty = reader.name("name");
+  spec.duty = nameAt(reader, "name");
   spec.shards = static_cast<std::uint32_t>(reader.number("shards", 1, kShardsMost, 1));
   spec.lease = milliseconds(
       reader.number("lease_ms", duty::kLeaseLeast.count(), duty::kLeaseMost.count(), spec.lease.count()));
@@ -129,7 +66,7 @@
 Settings settingsOf(const toml::table& file, const std::string& name) {
   Settings settings;
   Reader reader(file, "", name);
-  settings.fleet = reader.name("fleet");
+  settings.fleet = nameAt(reader, "fleet");
   settings.members = static_cast<std::uint32_t>(reader.number("members", 1, kMembersMost, 1));
   const auto time = [&](const char* key, std::int64_t least, std::int64_t most, milliseconds& to) {
     to = milliseconds(reader.number(key, least, most, to.count()));
@@ -145,9 +82,7 @@
   reader.tables("keeper", [&](const toml::table& table) {
     settings.keepers.push_back(keeperOf(table, name));
     const KeeperAddress& k = settings.keepers.back();
-    std::ostringstream address;
-    address << k.address;
-    if (!numbers.insert(k.number).second || !addresses.insert(address.str()).second ||
+    if (!numbers.insert(k.number).second || !addresses.insert(textOf(k.address)).second ||
         !addresses.insert(k.raft).second)
       Reader(table, "[[keeper]]: ", name).fail(nullptr, "a number or an address stands there twice");
   });
@@ -193,19 +128,9 @@
 }
 
 Settings parseSettings(const std::string& text, const std::string& name) {
-  try {
-    return settingsOf(toml::parse(text, name), name);
-  } catch (const toml::parse_error& bad) {
-    throw BadSettings(name + ":" + std::to_string(bad.source().begin.line) + ": " +
-                      std::string(bad.description()));
-  }
+  return settingsOf(tomlfile::parse(text, name), name);
 }
 
-Settings readSettings(const std::string& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw BadSettings(path + ": can't be read");
-  return parseSettings(text.str(), path);
-}
+Settings readSettings(const std::string& path) { return parseSettings(tomlfile::readWhole(path), path); }
 
 }  // namespace cairnjunction::fleet
--- a/src/fleet/settings.hpp
+++ b/src/fleet/settings.hpp
@@ -4,17 +4,15 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdint>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "duty/picker.hpp"
+#include "tomlfile/reader.hpp"
 
 namespace cairnjunction::fleet {
 
-struct BadSettings : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using BadSettings = tomlfile::BadFile;
 
 struct KeeperAddress {
   int number = 0;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -206,10 +206,10 @@
   if (h && h->out && !h->probing && now - age > h->triedAt) bringBack(*h, now);
 }
 
-std::vector<Membership::Out> Membership::outHosts() const {
-  std::vector<Out> all;
+std::vector<HostId> Membership::outHosts() const {
+  std::vector<HostId> all;
   for (HostId id = 0; id < hosts_.size(); ++id)
-    if (hosts_[id].out && hosts_[id].phase == Phase::in) all.push_back({id, hosts_[id].outAt});
+    if (hosts_[id].out && hosts_[id].phase == Phase::in) all.push_back(id);
   return all;
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -112,11 +112,7 @@
   void leaveToOthers(ochrehill::Time now, ochrehill::HostId host, ochrehill::Time until);
   // It was found taking connections so long ago. What this gateway saw later by itself goes before.
   void foundByOthers(ochrehill::Time now, ochrehill::HostId host, ochrehill::Duration age);
-  struct Out {
-    ochrehill::HostId host = ochrehill::kNone;
-    ochrehill::Time since{};
-  };
-  std::vector<Out> outHosts() const;  // listed to serve, and unreachable
+  std::vector<ochrehill::HostId> outHosts() const;  // listed to serve, and unreachable
   // What falls due by time: probes. Wanted every 100 ms or so; extra calls do no harm.
   void onTime(ochrehill::Time now);
 
--- /dev/null
+++ b/src/tomlfile/reader.hpp
@@ -0,0 +1,52 @@
+// Reads files that people write in TOML: typed and bounded values, and errors that name file, line, what was
+// found and what was expected. A key that nobody asked for is one of them.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <stdexcept>
+#include <string>
+
+#define TOML_HEADER_ONLY 1
+#include <toml++/toml.h>
+
+namespace cairnjunction::tomlfile {
+
+inline constexpr std::size_t kTextMost = 1024;  // bytes of a text: paths and addresses are the longest
+
+struct BadFile : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+std::string readWhole(const std::string& path);  // throws BadFile
+toml::table parse(const std::string& text,
+                  const std::string& name);  // `name` stands in errors; throws BadFile
+
+// One table. What it asks for and is not there has the value given for that case.
+class Reader {
+ public:
+  // `what` is said before a problem, as "[[keeper]]: ". The table must outlive it.
+  Reader(const toml::table& table, std::string what, std::string name)
+      : table_(table), what_(std::move(what)), name_(std::move(name)) {}
+
+  [[noreturn]] void fail(const toml::node* node,
+                         const std::string& problem) const;            // null: of the whole table
+  const toml::node* find(const char* key);                             // null: not there
+  std::string text(const char* key, const char* otherwise = nullptr);  // null: it must be there
+  std::int64_t number(const char* key, std::int64_t least, std::int64_t most, std::int64_t otherwise);
+  int number(const char* key, int least, int most, int otherwise) {
+    return static_cast<int>(number(key, std::int64_t{least}, std::int64_t{most}, std::int64_t{otherwise}));
+  }
+  double real(const char* key, double least, double most, double otherwise);  // a whole number too
+  bool flag(const char* key, bool otherwise);
+  void tables(const char* key, const std::function<void(const toml::table&)>& each);  // [[key]]
+  void finish() const;  // all keys were asked for, or it fails
+
+ private:
+  const toml::table& table_;
+  std::string what_, name_;
+  std::set<std::string> known_;
+};
+
+}  // namespace cairnjunction::tomlfile
--- a/tests/duty/duty_test.cpp
+++ b/tests/duty/duty_test.cpp
@@ -139,7 +139,7 @@
   Log log;
   std::vector<Candidate> candidates;
   for (int i = 0; i < 5; ++i) {
-    candidates.push_back({{"m" + std::to_string(i), 1}, "", {}});
+    candidates.push_back({{"m" + std::to_string(i), 1}});
     log(Joined{candidates.back().member, ""});
   }
   const std::vector<Spec> specs{{"probe", 20, kLease, "", ""}};
@@ -167,7 +167,7 @@
   Log log;
   std::vector<Candidate> candidates;
   for (int i = 0; i < 4; ++i) {
-    candidates.push_back({{"m" + std::to_string(i), 1}, "", {}});
+    candidates.push_back({{"m" + std::to_string(i), 1}});
     log(Joined{candidates.back().member, ""});
   }
   const std::vector<Spec> specs{{"list", 1, kLease, "list-standby", ""},
--- a/tests/duty/explorer_test.cpp
+++ b/tests/duty/explorer_test.cpp
@@ -194,6 +194,7 @@
             kept[key] = {holding.epoch, holding.sequence, {}};
         if (broken.forgetAtRestart) kept.clear();
         c.fence = {};
+        for (auto& [key, mark] : kept) mark = mark.beforeLast();
         c.fence.learn(kept);
       });
   }
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -26,8 +26,9 @@
 allow limits route
 allow duty
 allow agreement
-allow fleet agreement discovery duty
-allow app agreement fleet core config discovery http import jsonrpc limits ops pools route upstream standins
+allow tomlfile
+allow fleet agreement discovery duty tomlfile
+allow app agreement duty fleet core config discovery http import jsonrpc limits ops pools route upstream standins
 # Beliefs know no protocol, no socket and no clock.
 if grep -nEi 'boost|socket|steady_clock|system_clock' membership/*.?pp | grep -v '//'; then
   echo "src/membership knows more than it should"; bad=1
--- a/tools/lab/checks.cpp
+++ b/tools/lab/checks.cpp
@@ -94,38 +94,40 @@
   return all;
 }
 
+// When the gateway's process that was there at `atMs` had been told of the drain; none: it had not.
+std::optional<std::int64_t> toldOfDrain(const std::vector<Told>& processes, std::int64_t atMs,
+                                        const HostLine& drain) {
+  const auto process =
+      std::find_if(processes.rbegin(), processes.rend(), [&](const Told& t) { return t.startMs <= atMs; });
+  if (process == processes.rend()) return std::nullopt;
+  for (const auto& [ms, version] : process->versions)
+    if (version >= drain.version && ms >= drain.ms) return ms;
+  return std::nullopt;
+}
+
 Check drainedQuiet(const Ledgers& l) {
   Judge judge("drained-quiet");
   std::map<std::string, int> gatewayOf;
   for (const ClientCall& call : l.calls) gatewayOf[call.id] = call.gateway;
   std::map<int, std::vector<Told>> told;
   for (const auto& [name, lines] : l.members) told[std::stoi(name.substr(1))] = toldOf(lines);
-  for (std::size_t i = 0; i < l.hosts.size(); ++i) {
-    const HostLine& drain = l.hosts[i];
-    if (drain.state == "SERVING") continue;
-    std::int64_t until = INT64_MAX;
-    for (std::size_t j = i + 1; j < l.hosts.size(); ++j)
-      if (l.hosts[j].port == drain.port && l.hosts[j].state == "SERVING") {
-        until = l.hosts[j].ms;
-        break;
-      }
+  const std::int64_t allowed = kGraceMs + kOnTheWayMs + static_cast<std::int64_t>(lateMs(l));
+  for (auto drain = l.hosts.begin(); drain != l.hosts.end(); ++drain) {
+    if (drain->state == "SERVING") continue;
+    const auto back = std::find_if(drain, l.hosts.end(), [&](const HostLine& h) {
+      return h.port == drain->port && h.state == "SERVING";
+    });
+    const std::int64_t until = back == l.hosts.end() ? INT64_MAX : back->ms;
     for (const WorkerLine& w : l.workers) {
-      if (!w.came || w.port != drain.port || w.ms < drain.ms || w.ms >= until) continue;
+      if (!w.came || w.port != drain->port || w.ms < drain->ms || w.ms >= until) continue;
       ++judge.check.counted;
       const auto known = gatewayOf.find(w.ref);
       if (known == gatewayOf.end()) continue;
-      const std::vector<Told>& processes = told[known->second];
-      const auto process = std::find_if(processes.rbegin(), processes.rend(),
-                                        [&](const Told& t) { return t.startMs <= w.ms; });
-      if (process == processes.rend()) continue;
-      for (const auto& [ms, version] : process->versions)
-        if (version >= drain.version && ms >= drain.ms) {
-          if (w.ms > ms + kGraceMs + kOnTheWayMs + static_cast<std::int64_t>(lateMs(l)))
-            judge.broken("call " + w.ref + " of gateway " + std::to_string(known->second) + " came to port " +
-                         std::to_string(w.port) + " " + std::to_string(w.ms - ms) +
-                         " ms after its drain was told");
-          break;
-        }
+      const auto ms = toldOfDrain(told[known->second], w.ms, *drain);
+      if (ms && w.ms > *ms + allowed)
+        judge.broken("call " + w.ref + " of gateway " + std::to_string(known->second) + " came to port " +
+                     std::to_string(w.port) + " " + std::to_string(w.ms - *ms) +
+                     " ms after its drain was told");
     }
   }
   return judge.check;
--- a/tools/lab/experiment.cpp
+++ b/tools/lab/experiment.cpp
@@ -3,13 +3,7 @@
 
 #include <algorithm>
 #include <array>
-#include <fstream>
 #include <random>
-#include <set>
-#include <sstream>
-
-#define TOML_HEADER_ONLY 1
-#include <toml++/toml.h>
 
 namespace cairnjunction::lab {
 namespace {
@@ -20,123 +14,75 @@
                                FaultKind::delay,    FaultKind::reset,     FaultKind::diskFull,
                                FaultKind::holdSent, FaultKind::clockStep, FaultKind::refuse};
 constexpr int kStepMost = 86'400'000;  // ms; a day either way
+constexpr double kRateMost = 1e6;
 constexpr int kSecondsMost = 600, kProcessesMost = 400;
 
-[[noreturn]] void fail(const std::string& name, const toml::node& at, const std::string& what) {
-  throw BadExperiment(name + ":" + std::to_string(at.source().begin.line) + ": " + what);
-}
+using tomlfile::Reader;
 
-FaultKind kindOf(const std::string& text, const std::string& name, const toml::node& at) {
+FaultKind kindOf(const std::string& text, const Reader& reader, const toml::node* at) {
   for (const FaultKind kind : kKinds)
     if (text == nameOf(kind)) return kind;
-  fail(name, at, "unknown kind of fault '" + text + "'");
+  reader.fail(at, "unknown kind of fault '" + text + "'");
 }
 
-class Table {
- public:
-  Table(const toml::table& table, const std::string& name) : table_(table), name_(name) {}
-  void number(const char* key, int& to, int least, int most) {
-    const toml::node* node = find(key);
-    if (!node) return;
-    const auto value = node->value<std::int64_t>();
-    if (!value || *value < least || *value > most)
-      fail(name_, *node,
-           std::string("'") + key + "' is no number from " + std::to_string(least) + " to " +
-               std::to_string(most));
-    to = static_cast<int>(*value);
-  }
-  void number(const char* key, double& to) {
-    const toml::node* node = find(key);
-    if (!node) return;
-    const auto value = node->value<double>();
-    if (!value || *value < 0 || *value > 1e6)
-      fail(name_, *node, std::string("'") + key + "' is out of range");
-    to = *value;
-  }
-  void flag(const char* key, bool& to) {
-    if (const toml::node* node = find(key)) to = node->value<bool>().value_or(to);
-  }
-  std::string text(const char* key, const std::string& otherwise = {}) {
-    const toml::node* node = find(key);
-    return node ? node->value<std::string>().value_or(otherwise) : otherwise;
-  }
-  template <class Each>
-  void tables(const char* key, Each each) {
-    const toml::node* node = find(key);
-    if (!node) return;
-    if (!node->is_array_of_tables())
-      fail(name_, *node, std::string("'") + key + "' is not given as [[" + key + "]]");
-    for (const toml::node& element : *node->as_array()) each(*element.as_table());
-  }
-  const toml::node* find(const char* key) {
-    known_.insert(key);
-    return table_.get(key);
-  }
-  void finish() {
-    for (const auto& [key, node] : table_)
-      if (!known_.count(std::string(key.str())))
-        fail(name_, node, "unknown key '" + std::string(key.str()) + "'");
-  }
-
- private:
-  const toml::table& table_;
-  const std::string& name_;
-  std::set<std::string> known_;
-};
-
 Experiment experimentOf(const toml::table& file, const std::string& name) {
   Experiment e;
-  Table table(file, name);
-  e.name = table.text("name", "unnamed");
-  table.number("seconds", e.seconds, 1, kSecondsMost);
-  table.number("gateways", e.gateways, 1, kProcessesMost);
-  table.number("keepers", e.keepers, 1, 5);
-  table.number("workers", e.workers, 1, kProcessesMost);
-  table.flag("fleet", e.fleet);
-  table.flag("disks", e.disks);
-  table.flag("probing", e.probing);
-  table.number("rate", e.rate);
-  table.number("beat_ms", e.beatMs, 50, 10'000);
-  table.number("lease_ms", e.leaseMs, 200, 60'000);
-  table.number("alone_after_ms", e.aloneMs, 200, 60'000);
-  table.number("election_ms", e.electionMs, 100, 10'000);
-  table.number("settle_ms", e.settleMs, 0, 60'000);
-  table.number("probe_shards", e.probeShards, 1, 256);
-  table.number("expect_refused", e.expectRefused, 0, 1'000'000);
-  table.tables("fault", [&](const toml::table& t) {
-    Table row(t, name);
+  Reader reader(file, "", name);
+  const auto take = [&](const char* key, int least, int most, int& to) {
+    to = reader.number(key, least, most, to);
+  };
+  e.name = reader.text("name", "unnamed");
+  take("seconds", 1, kSecondsMost, e.seconds);
+  take("gateways", 1, kProcessesMost, e.gateways);
+  take("keepers", 1, 5, e.keepers);
+  take("workers", 1, kProcessesMost, e.workers);
+  e.fleet = reader.flag("fleet", e.fleet);
+  e.disks = reader.flag("disks", e.disks);
+  e.probing = reader.flag("probing", e.probing);
+  e.rate = reader.real("rate", 0, kRateMost, e.rate);
+  take("beat_ms", 50, 10'000, e.beatMs);
+  take("lease_ms", 200, 60'000, e.leaseMs);
+  take("alone_after_ms", 200, 60'000, e.aloneMs);
+  take("election_ms", 100, 10'000, e.electionMs);
+  take("settle_ms", 0, 60'000, e.settleMs);
+  take("probe_shards", 1, 256, e.probeShards);
+  take("expect_refused", 0, 1'000'000, e.expectRefused);
+  reader.tables("fault", [&](const toml::table& t) {
+    Reader row(t, "[[fault]]: ", name);
     Fault fault;
-    row.number("at_ms", fault.atMs, 0, kSecondsMost * 1000);
-    row.number("for_ms", fault.forMs, 0, kSecondsMost * 1000);
-    row.number("ms", fault.ms, -kStepMost, kStepMost);
-    fault.kind = kindOf(row.text("kind"), name, t);
-    fault.whom = row.text("whom");
-    if (fault.whom.empty()) fail(name, t, "a fault needs 'whom'");
+    fault.atMs = row.number("at_ms", 0, kSecondsMost * 1000, 0);
+    fault.forMs = row.number("for_ms", 0, kSecondsMost * 1000, 0);
+    fault.ms = row.number("ms", -kStepMost, kStepMost, 0);
+    fault.kind = kindOf(row.text("kind"), row, row.find("kind"));
+    fault.whom = row.text("whom", "");
+    if (fault.whom.empty()) row.fail(nullptr, "a fault needs 'whom'");
     row.finish();
     e.faults.push_back(fault);
   });
-  table.tables("host", [&](const toml::table& t) {
-    Table row(t, name);
+  reader.tables("host", [&](const toml::table& t) {
+    Reader row(t, "[[host]]: ", name);
     HostChange change;
-    row.number("at_ms", change.atMs, 0, kSecondsMost * 1000);
-    row.number("worker", change.worker, 0, kProcessesMost);
+    change.atMs = row.number("at_ms", 0, kSecondsMost * 1000, 0);
+    change.worker = row.number("worker", 0, kProcessesMost, 0);
     change.state = row.text("state");
     if (change.state != "SERVING" && change.state != "DRAINING" && change.state != "DELETED")
-      fail(name, t, "a host's state is SERVING, DRAINING or DELETED");
+      row.fail(row.find("state"), "a host's state is SERVING, DRAINING or DELETED");
     row.finish();
     e.changes.push_back(change);
   });
-  if (const toml::node* node = table.find("random")) {
-    if (!node->is_table()) fail(name, *node, "'random' is no table");
-    Table random(*node->as_table(), name);
-    random.number("faults", e.randomFaults, 0, 100);
-    random.number("from_ms", e.randomFromMs, 0, kSecondsMost * 1000);
-    if (const toml::node* kinds = random.find("kinds"); kinds && kinds->is_array())
+  if (const toml::node* node = reader.find("random")) {
+    if (!node->is_table()) reader.fail(node, "'random' is no table");
+    Reader random(*node->as_table(), "[random]: ", name);
+    e.randomFaults = random.number("faults", 0, 100, e.randomFaults);
+    e.randomFromMs = random.number("from_ms", 0, kSecondsMost * 1000, e.randomFromMs);
+    if (const toml::node* kinds = random.find("kinds")) {
+      if (!kinds->is_array()) random.fail(kinds, "'kinds' is no list");
       for (const toml::node& kind : *kinds->as_array())
-        e.randomKinds.push_back(kindOf(kind.value<std::string>().value_or(""), name, kind));
+        e.randomKinds.push_back(kindOf(kind.value<std::string>().value_or(""), random, &kind));
+    }
     random.finish();
   }
-  table.finish();
+  reader.finish();
   return e;
 }
 
@@ -161,19 +107,11 @@
 }
 
 Experiment parseExperiment(const std::string& text, const std::string& name) {
-  try {
-    return experimentOf(toml::parse(text, name), name);
-  } catch (const toml::parse_error& bad) {
-    throw BadExperiment(name + ":" + std::to_string(bad.source().begin.line) + ": " +
-                        std::string(bad.description()));
-  }
+  return experimentOf(tomlfile::parse(text, name), name);
 }
 
 Experiment readExperiment(const std::string& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw BadExperiment(path + ": can't be read");
-  return parseExperiment(text.str(), path);
+  return parseExperiment(tomlfile::readWhole(path), path);
 }
 
 Experiment planned(Experiment e, std::uint64_t seed) {
--- a/tools/lab/experiment.hpp
+++ b/tools/lab/experiment.hpp
@@ -3,15 +3,14 @@
 #pragma once
 
 #include <cstdint>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "tomlfile/reader.hpp"
+
 namespace cairnjunction::lab {
 
-struct BadExperiment : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using BadExperiment = tomlfile::BadFile;
 
 enum class FaultKind {
   kill,       // SIGKILL; started again after `for`
--- a/tools/lab/ledgers.cpp
+++ b/tools/lab/ledgers.cpp
@@ -28,8 +28,9 @@
   }
 }
 
-// What else a process wrote beside its structured lines is passed over.
-std::vector<json> journal(const std::string& path) {
+}  // namespace
+
+std::vector<json> readJournal(const std::string& path) {
   std::vector<json> lines;
   eachLine(path, [&](const std::string& line) {
     if (!line.empty() && line.front() == '{') lines.push_back(json::parse(line));
@@ -37,8 +38,6 @@
   return lines;
 }
 
-}  // namespace
-
 Ledgers readLedgers(const std::string& folder) {
   Ledgers all;
   std::ifstream run(folder + "/run.json");
@@ -71,8 +70,8 @@
     if (entry.path().extension() != ".jsonl" || name.size() < 2 ||
         name.find_first_not_of("0123456789", 1) != std::string::npos)
       continue;
-    if (name.front() == 'n') all.members[name] = journal(entry.path());
-    if (name.front() == 'k') all.keepers[name] = journal(entry.path());
+    if (name.front() == 'n') all.members[name] = readJournal(entry.path());
+    if (name.front() == 'k') all.keepers[name] = readJournal(entry.path());
   }
   return all;
 }
--- a/tools/lab/ledgers.hpp
+++ b/tools/lab/ledgers.hpp
@@ -42,6 +42,10 @@
   std::map<std::string, std::vector<nlohmann::json>> members, keepers;  // their lines, by process
 };
 
+// The structured lines of a member or keeper, which may be running: what else stands there, and half a line
+// at the end, is passed over. A missing file has none. Throws std::runtime_error.
+std::vector<nlohmann::json> readJournal(const std::string& path);
+
 // Throws std::runtime_error with the file and line that can't be read; a file that is missing is an empty
 // ledger, but for run.json.
 Ledgers readLedgers(const std::string& folder);
--- a/tools/lab/run.cpp
+++ b/tools/lab/run.cpp
@@ -11,6 +11,8 @@
 #include <sstream>
 
 #include "fleet/boot_clock.hpp"
+#include "lab/ledgers.hpp"
+#include "standins/gateway_config.hpp"
 
 namespace cairnjunction::lab {
 namespace {
@@ -21,45 +23,12 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kReady{30'000};
-constexpr int kGiveUpMs[] = {1200, 2000, 1000};
-constexpr const char* kClasses[] = {"cut-plan", "stock-out", "log-in"};
-constexpr const char* kEffects[] = {"retryable", "fragile", "dedup"};
+constexpr standins::GatewayClasses kClasses{{400, 400, 400}};
 
 std::string text(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
 std::int64_t bootMs() { return fleet::bootTime().count(); }
 
-json gatewayConfig(const std::string& name, std::uint16_t listen, std::uint16_t discovery,
-                   std::uint16_t mgmt) {
-  json grades = json::array();
-  for (std::size_t i = 0; i < 3; ++i)
-    grades.push_back({{"name", kClasses[i]},
-                      {"effect", kEffects[i]},
-                      {"group", "zone"},
-                      {"points", i == 0 ? 12 : 1},
-                      {"aimNs", 400'000'000},
-                      {"giveUpNs", kGiveUpMs[i] * 1'000'000LL},
-                      {"windowNs", 2'000'000'000}});
-  return {{"name", name},
-          {"listen", text(listen)},
-          {"discovery", text(discovery)},
-          {"mgmt", text(mgmt)},
-          {"limits", {{"sockets", 1024}, {"memory_mb", 192}}},
-          {"settings",
-           {{"zone", "brasov"},
-            {"registryMode", "ask"},
-            {"stepNs", 5'000'000},
-            {"ceilings",
-             {{"cancel", true},
-              {"maxAttempts", 6},
-              {"retryAfter", true},
-              {"maxRetryAfterNs", 1'000'000'000},
-              {"idleCloseNs", 15'000'000'000},
-              {"connectTimeoutNs", 250'000'000}}},
-            {"rules", {{"askWithinNs", 30'000'000'000}}},
-            {"grades", grades}}}};
-}
-
 }  // namespace
 
 Run::Run(boost::asio::io_context& io, const Experiment& experiment, const RunOptions& options)
@@ -172,8 +141,9 @@
     node.door = port();
     std::uint16_t discovery = 0;
     node.out.push_back(link(discoveryPort_, discovery));
-    std::ofstream(dir + "/" + name + ".config")
-        << gatewayConfig(name, node.port, discovery, node.door).dump(1);
+    json config = standins::gatewayConfig(name, text(node.port), text(discovery), kClasses);
+    config["mgmt"] = text(node.door);
+    std::ofstream(dir + "/" + name + ".config") << config.dump(1);
     node.words = {"--config", dir + "/" + name + ".config"};
     if (!experiment_.fleet) continue;
     std::string extra = "[member]\nlog = \"" + dir + "/" + name + ".jsonl\"\n";
@@ -257,28 +227,22 @@
   });
   if (!ready) throw CouldNotRun("not all gateways listen");
   // A duty has its first owner, and all have the list, before the load and the plan begin.
+  const auto told = [&](auto& entry) {
+    const auto lines = journalOf(entry.first);
+    return entry.first.front() != 'n' || std::any_of(lines.begin(), lines.end(), [](const json& line) {
+             return line["event"] == "list-taken" || line["event"] == "list-told";
+           });
+  };
   if (experiment_.fleet && !until(kReady, [&] {
-        return !ownerOf("list").empty() && std::all_of(nodes_.begin(), nodes_.end(), [&](auto& entry) {
-          if (entry.first.front() != 'n') return true;
-          const auto lines = lastLines(entry.first);
-          return std::any_of(lines.begin(), lines.end(), [](const std::string& line) {
-            return line.find("\"list-taken\"") != std::string::npos ||
-                   line.find("\"list-told\"") != std::string::npos;
-          });
-        });
+        return !ownerOf("list").empty() && std::all_of(nodes_.begin(), nodes_.end(), told);
       }))
     throw CouldNotRun("not all gateways were told a list");
 }
 
-// --- Who is meant
-// -------------------------------------------------------------------------------------------
+// --- Who is meant --------------------------------------------------------------------------------------
 
-std::vector<std::string> Run::lastLines(const std::string& name) const {
-  std::ifstream file(options_.folder + "/" + name + ".jsonl");
-  std::vector<std::string> lines;
-  std::string line;
-  while (std::getline(file, line)) lines.push_back(line);
-  return lines;
+std::vector<json> Run::journalOf(const std::string& name) const {
+  return readJournal(options_.folder + "/" + name + ".jsonl");
 }
 
 // By the members' own lines: the one that began the highest epoch and has not ended it.
@@ -288,9 +252,8 @@
   for (const auto& [name, node] : nodes_) {
     if (name.front() != 'n') continue;
     std::map<std::uint64_t, std::uint64_t> begun;  // by shard
-    for (const std::string& text : lastLines(name)) {
-      const json line = json::parse(text, nullptr, false);
-      if (!line.is_object() || line.value("duty", "") != duty) continue;
+    for (const json& line : journalOf(name)) {
+      if (line.value("duty", "") != duty) continue;
       if (line["event"] == "duty-begun") begun[line["shard"]] = line["epoch"];
       if (line["event"] == "duty-ended") begun.erase(line["shard"].get<std::uint64_t>());
     }
@@ -305,9 +268,7 @@
   std::int64_t last = -1;
   for (const auto& [name, node] : nodes_) {
     if (name.front() != 'k') continue;
-    for (const std::string& text : lastLines(name)) {
-      const json line = json::parse(text, nullptr, false);
-      if (!line.is_object()) continue;
+    for (const json& line : journalOf(name)) {
       if (line["event"] == "leads" && line["boot_ms"].get<std::int64_t>() > last)
         leader = name, last = line["boot_ms"];
       if (line["event"] == "leads-no-more" && leader == name) leader.clear();
@@ -341,8 +302,7 @@
   return found;
 }
 
-// --- Faults
-// -------------------------------------------------------------------------------------------------
+// --- Faults --------------------------------------------------------------------------------------------
 
 void Run::at(std::int64_t ms, std::function<void()> what) {
   timers_.push_back(std::make_unique<boost::asio::steady_timer>(io_, began_ + milliseconds(ms)));
@@ -407,14 +367,8 @@
       for (Proxy* p : node.in) p->refuse(true);
       break;
     case FaultKind::clockStep: stepClock(node, fault.ms); break;
-    case FaultKind::delay:
-      for (Proxy* p : node.out) p->delay(milliseconds(fault.ms));
-      for (Proxy* p : node.in) p->delay(milliseconds(fault.ms));
-      break;
-    case FaultKind::reset:
-      for (Proxy* p : node.out) p->reset();
-      for (Proxy* p : node.in) p->reset();
-      break;
+    case FaultKind::delay: node.eachLink([&](Proxy& link) { link.delay(milliseconds(fault.ms)); }); break;
+    case FaultKind::reset: node.eachLink([](Proxy& link) { link.reset(); }); break;
     case FaultKind::diskFull: node.process->limitFiles(true); break;
   }
   setHolds(node);
@@ -433,8 +387,7 @@
     case FaultKind::stop: node.process->signal(SIGCONT); break;
     case FaultKind::cut:
       release(true, true, false);
-      for (Proxy* p : node.out) p->reset();
-      for (Proxy* p : node.in) p->reset();
+      node.eachLink([](Proxy& link) { link.reset(); });
       break;
     case FaultKind::hold: release(true, true, false); break;
     case FaultKind::hearsNone: release(false, true, false); break;
@@ -443,10 +396,7 @@
       for (Proxy* p : node.in) p->refuse(false);
       break;
     case FaultKind::clockStep: stepClock(node, 0); break;
-    case FaultKind::delay:
-      for (Proxy* p : node.out) p->delay(milliseconds(0));
-      for (Proxy* p : node.in) p->delay(milliseconds(0));
-      break;
+    case FaultKind::delay: node.eachLink([](Proxy& link) { link.delay(milliseconds(0)); }); break;
     case FaultKind::reset: break;
     case FaultKind::diskFull:
       node.process->limitFiles(false);
@@ -469,8 +419,7 @@
          << std::flush;
 }
 
-// --- The run
-// ------------------------------------------------------------------------------------------------
+// --- The run -------------------------------------------------------------------------------------------
 
 // The fleet's figures of all gateways that answer, summed.
 std::map<std::string, std::uint64_t> Run::doorFigures() {
@@ -513,7 +462,7 @@
   for (int g = 0; g < experiment_.gateways; ++g) gateways.push_back(nodes_["n" + std::to_string(g)].port);
   load_ = std::make_unique<Load>(io_, gateways, experiment_.rate, options_.seed,
                                  options_.folder + "/clients.jsonl",
-                                 milliseconds(kGiveUpMs[1] + options_.lateMs + 500));
+                                 milliseconds(kClasses.kGiveUpMs[1] + options_.lateMs + 500));
   began_ = std::chrono::steady_clock::now();
   const std::int64_t beginMs = bootMs();
   const std::uint64_t bytesBefore = linkBytes();
@@ -525,17 +474,17 @@
   const double bytesASecond = static_cast<double>(linkBytes() - bytesBefore) / experiment_.seconds;
   const std::int64_t cpuMs = gatewayCpuMs() - cpuBefore;
   load_->stop();
-  until(milliseconds(kGiveUpMs[1] + options_.lateMs + 2000), [&] { return load_->idle(); });
-  json run = {
-      {"experiment", experiment_.name},
-      {"seed", options_.seed},
-      {"begin_ms", beginMs},
-      {"end_ms", bootMs()},
-      {"give_up_ms", {{kClasses[0], kGiveUpMs[0]}, {kClasses[1], kGiveUpMs[1]}, {kClasses[2], kGiveUpMs[2]}}},
-      {"expect_refused", experiment_.expectRefused},
-      {"late_ms", options_.lateMs},
-      {"alive", json::array()},
-      {"measured", {{"fleet_bytes_a_second", bytesASecond}, {"gateways_cpu_ms", cpuMs}}}};
+  until(milliseconds(kClasses.kGiveUpMs[1] + options_.lateMs + 2000), [&] { return load_->idle(); });
+  json run = {{"experiment", experiment_.name},
+              {"seed", options_.seed},
+              {"begin_ms", beginMs},
+              {"end_ms", bootMs()},
+              {"give_up_ms", json::object()},
+              {"expect_refused", experiment_.expectRefused},
+              {"late_ms", options_.lateMs},
+              {"alive", json::array()},
+              {"measured", {{"fleet_bytes_a_second", bytesASecond}, {"gateways_cpu_ms", cpuMs}}}};
+  for (std::size_t i = 0; i < 3; ++i) run["give_up_ms"][kClasses.kNames[i]] = kClasses.kGiveUpMs[i];
   for (auto& [name, node] : nodes_)
     if (name.front() == 'n' && node.process->running()) run["alive"].push_back(name);
   for (const auto& [name, sum] : doorFigures()) run["measured"][name] = sum;
--- a/tools/lab/run.hpp
+++ b/tools/lab/run.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -45,12 +46,17 @@
     std::unique_ptr<Process> process;
     std::vector<Proxy*> out, in;  // links that it dials, and that others dial to it
     std::uint16_t port = 0, door = 0;
-    bool wanted = true;           // to be running
     std::vector<Proxy*> keepers;  // those of `out` that go to keepers
     struct Hold {
       bool out, in, keepersOnly;
     };
     std::vector<Hold> held;  // of the faults that are on
+
+    template <class Each>
+    void eachLink(Each each) const {
+      for (Proxy* p : out) each(*p);
+      for (Proxy* p : in) each(*p);
+    }
   };
 
   std::uint16_t port();
@@ -71,7 +77,7 @@
   void at(std::int64_t ms, std::function<void()> what);
   bool until(std::chrono::milliseconds most, const std::function<bool()>& done);
   bool listening(std::uint16_t at);
-  std::vector<std::string> lastLines(const std::string& name) const;
+  std::vector<nlohmann::json> journalOf(const std::string& name) const;
   std::uint64_t linkBytes() const;
   std::int64_t gatewayCpuMs() const;
   std::map<std::string, std::uint64_t> doorFigures();
--- a/tools/standins/discovery.cpp
+++ b/tools/standins/discovery.cpp
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <utility>
 
+#include "discovery/host_list.hpp"
+
 namespace cairnjunction::standins {
 namespace {
 
@@ -112,14 +114,10 @@
   if (state == "DELETED") {
     targets_.erase(uid);
   } else {
-    targets_[uid] = {{"uid", uid},
-                     {"endpoint", endpoint.address().to_string() + ":" + std::to_string(endpoint.port())},
-                     {"az", zone},
-                     {"model", "stand-in"},
-                     {"pod_group", 0},
-                     {"state", state},
-                     {"capacity_hint", 1.0},
-                     {"boot_ms", 0}};
+    targets_[uid] = {{"uid", uid},           {"endpoint", textOf(endpoint)},
+                     {"az", zone},           {"model", "stand-in"},
+                     {"pod_group", 0},       {"state", state},
+                     {"capacity_hint", 1.0}, {"boot_ms", 0}};
   }
   for (const auto& connection : std::unordered_set<std::shared_ptr<Connection>>(connections_))
     connection->changed();
