Watches wait 1 to 2 s, a silent one is resynced by tries; pushed lists are watched

At 20.271 s, 0.25 s past the wait of 20 s, it asked for the list beside n1 and n3 and was turned away (503 after 14 ms: discovery had two calls in its queue); nothing asked again until the module's first look at 23.4 s. To blame: Discovery::late (one try, none after it) and a wait that left 2 s for it, the same at all gateways. Ruled out by the same traces: lists that were read and not taken, watches never begun, a drain undone later.

Change: a watch waits for a drawn 1 to 2 s; one that is silent past it is resynced by small calls from the version held, tried with a drawn backoff until one is answered; a move to another discovery is tried in the same way; where lists are pushed the client keeps its watch by itself, with an agent's pace. The figure list_stale shows one that has broken.

--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -19,11 +19,13 @@
 
 FleetLists::FleetLists(boost::asio::io_context& io, const fleet::Settings& settings, const std::string& name,
                        Discovery& discovery, Engine& engine, const boost::asio::ip::tcp::endpoint& source,
-                       const std::optional<HostList>& known, std::function<void(const HostList&)> told)
+                       const std::optional<HostList>& known, bool pushed,
+                       std::function<void(const HostList&)> told)
     : discovery_(discovery),
       told_(std::move(told)),
       journal_(settings.log, "member", name),
       source_(textOf(source)),
+      pushed_(pushed),
       timer_(io) {
   if (known) {
     held_ = *known;
@@ -46,7 +48,7 @@
 
 // --- Who asks discovery -----------------------------------------------------------------------------------
 
-bool FleetLists::asks() const { return asking_.asks(bootTime()); }
+bool FleetLists::asks() const { return pushed_ || asking_.asks(bootTime()); }
 
 void FleetLists::dutyChanged(const duty::Key& key, bool owns) {
   if (key != kList && key != kStandby) return;
@@ -87,7 +89,7 @@
 }
 
 void FleetLists::doubted() {
-  if (asks()) discovery_.askBeside();
+  if (asks()) discovery_.verify();
 }
 
 // One call of each member on the new one, as without a fleet; whoever does not ask hears the owner from there
--- a/src/app/fleet.hpp
+++ b/src/app/fleet.hpp
@@ -27,11 +27,12 @@
   // An owner whose calls on discovery fail for so long gives the duty to another one.
   static constexpr duty::Time kFailMost{5000};
 
-  // `source` is the discovery that this gateway is configured with; `known` the hosts it has. `told` is given
-  // whole lists, and changes by the gateway's own discovery.
+  // `source` is the discovery that this gateway is configured with; `known` the hosts it has. Where lists are
+  // `pushed` each gateway watches an agent of its own, whoever owns the list. `told` is given whole lists,
+  // and changes by the gateway's own discovery.
   FleetLists(boost::asio::io_context& io, const fleet::Settings& settings, const std::string& name,
              Discovery& discovery, Engine& engine, const boost::asio::ip::tcp::endpoint& source,
-             const std::optional<HostList>& known, std::function<void(const HostList&)> told);
+             const std::optional<HostList>& known, bool pushed, std::function<void(const HostList&)> told);
 
   void subscribe();                          // the module wants the list
   void doubted();                            // what it says is not what is seen
@@ -61,6 +62,7 @@
   fleet::OwnAsking asking_;
   HostList held_;  // whole
   std::string source_;
+  const bool pushed_;
   bool watching_ = false;  // discovery was asked and has not been told to stop
   std::optional<duty::Time> failingSince_;
   std::uint64_t taken_ = 0, passedOver_ = 0, handed_ = 0;
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -91,8 +91,11 @@
       engine_(settings_, *this, *upstream_),
       discovery_(io, config.discovery,
                  {[this](const HostList& list) { fromDiscovery(list); }, [this] { discoveryFailed(); },
-                  [this] { engine_.doubtFailed(); }},
-                 waits.discovery),
+                  [this] { engine_.doubtFailed(); },
+                  [this] {
+                    if (fleet_) fleet_->discoveryFailed();
+                  }},
+                 waits.discovery, settings_.askDiscovery ? Discovery::Mode::asked : Discovery::Mode::pushed),
       waker_(io),
       drainTimer_(io),
       pools_(router
@@ -122,9 +125,12 @@
   if (config.known) discovery_.knows(config.known->version);
   if (fleet)
     fleet_ = std::make_unique<FleetLists>(io, *fleet, config.name, discovery_, engine_, config.discovery,
-                                          config.known, [this](const HostList& list) { told(list); });
+                                          config.known, !settings_.askDiscovery,
+                                          [this](const HostList& list) { told(list); });
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
+  // Danger: where lists are pushed the module asks for none, and what the agent has counts as told already.
+  if (!settings_.askDiscovery) subscribe();
   if (config.mgmt)
     door_ = std::make_unique<ops::Door>(io, *config.mgmt,
                                         [this](std::string_view line) { return answerOperator(line); });
@@ -187,7 +193,7 @@
 
 void Gateway::doubtList() {
   if (fleet_) fleet_->doubted();
-  else discovery_.askBeside();
+  else discovery_.verify();
 }
 
 void Gateway::fromDiscovery(const HostList& list) {
@@ -257,6 +263,7 @@
   figures.reloadSuccess = reloads_;
   figures.reloadFailure = reloadFailures_;
   if (fleet_) figures.more = fleet_->figures();
+  figures.more.emplace_back("list_stale", discovery_.stale());
   return figures;
 }
 
