A stop leaves no connection behind an answer, and takes all that waits

Cause, by reading and a forced crossing for each: (1) an answer that said the connection stays, and was still being written when resting ones were closed at the end of a stop, left its connection open for 15 s or to the kill, and requests came on it (Session::next looked only at what it had said); (2) at the limit on connections, those that waited at the listener were reset when it closed, with their requests (stopListening took them only up to the limit; JSON-RPC 32 of them); (3) a request whose second half comes late in a stop had its whole deadline, past the kill, where late answers earn.

Change: next() closes behind the last write once resting connections were closed; all that waits is taken, bounded by descriptors; calls taken after the 0.7 s have no more time than till 0.3 s before the kill. The session is a file of its own, its states stand in docs/design/http-session.md. A class whose aim stretches with its cost counts with its deadline in the time of serving on.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -297,17 +297,21 @@
   http_.server().setLimits(clientLimits(config, waits_.clients, jsonRpcSettings_));
 }
 
+// After a stop was asked for, the platform leaves us so long at least.
+Duration Gateway::killedAfter() const {
+  Duration deadline{};
+  for (const ochrehill::ClassSettings& c : settings_.classes) deadline = std::max(deadline, c.giveUp);
+  return std::min<Duration>(deadline, kLongestCounted) + kKillSlack;
+}
+
 // After a stop was asked for, clients that are there are served as ever for so long. Danger: gateways are
 // restarted one after the other, and the next may be asked to stop before the last is back. Clients that are
 // sent away then find nobody. It leaves the time for the slowest answer before we are killed.
 Duration Gateway::serveOn() const {
-  Duration deadline{}, answer{};
-  for (const ochrehill::ClassSettings& c : settings_.classes) {
-    deadline = std::max(deadline, c.giveUp);
-    answer = std::max(answer, c.lateShare > 0 ? c.giveUp : c.aim);
-  }
-  const Duration killed = std::min<Duration>(deadline, kLongestCounted) + kKillSlack;
-  return std::clamp<Duration>(killed - answer - kDrainMargin, kAcceptOn, kServeMost);
+  Duration answer{};
+  for (const ochrehill::ClassSettings& c : settings_.classes)
+    answer = std::max(answer, c.lateShare > 0 || c.aimStretch > 0 ? c.giveUp : c.aim);
+  return std::clamp<Duration>(killedAfter() - answer - kDrainMargin, kAcceptOn, kServeMost);
 }
 
 void Gateway::drain(std::function<void()> done) {
@@ -318,9 +322,14 @@
   // Where the listening socket is shared, the next process serves already, and clients are sent to it.
   // Where deadlines leave no time to serve on, they are sent away at once too.
   if (shared_ || serveOn() <= kAcceptOn) http_.server().lastAnswers();
+  const Time last = now() + killedAfter() - kDrainMargin;
   drainTimer_.expires_after(kAcceptOn);
-  drainTimer_.async_wait(lifetime_.guard([this](error_code ec) {
+  drainTimer_.async_wait(lifetime_.guard([this, last](error_code ec) {
     if (ec) return;
+    // Danger: what is taken from here on is lost if the kill finds it unanswered, as a request whose second
+    // half is slow to come.
+    engine_.answerWithin(last - now());
+    if (pools_) pools_->answerWithin(last - now());
     if (shared_) return finishDrain();
     http_.server().stopListening();
     drainTimer_.expires_after(serveOn() - kAcceptOn);
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -87,6 +87,7 @@
   void fromDiscovery(const HostList& list);
   void discoveryFailed();
   void emptied(bool& front);
+  ochrehill::Duration killedAfter() const;
   ochrehill::Duration serveOn() const;
   void finishDrain();
   std::string answerOperator(std::string_view line) const;
--- a/src/app/pools.cpp
+++ b/src/app/pools.cpp
@@ -213,6 +213,10 @@
       fixed_[at++]->engine().configure(poolSettings(settings, pools[i], callsMost_));
 }
 
+void Pools::answerWithin(ochrehill::Duration left) {
+  for (const auto& pool : fixed_) pool->engine().answerWithin(left);
+}
+
 void Pools::stop() {
   for (const auto& pool : fixed_) pool->upstream().stop();
 }
--- a/src/app/pools.hpp
+++ b/src/app/pools.hpp
@@ -93,6 +93,7 @@
 
   bool mayConfigure(const ochrehill::Settings& settings) const;
   void configure(const ochrehill::Settings& settings);
+  void answerWithin(ochrehill::Duration left);  // in a stop, as Engine has it
   void stop();
   std::size_t connections() const;
   const std::vector<std::unique_ptr<FixedPool>>& fixed() const { return fixed_; }
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -55,6 +55,7 @@
   const CallId mine = ++lastCall_;
   if (id) *id = mine;
   call.facts.id = mine;
+  if (answerBy_ - now < call.facts.left) call.facts.left = std::max(answerBy_ - now, Duration{});
   Open& open = calls_[mine];
   open.call = std::move(call);
   open.sink = &sink;
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -98,6 +98,8 @@
   const Membership& membership() const { return membership_; }
   const ochrehill::Balancer& balancer() const { return balancer_; }
   ochrehill::HostId findHost(std::string_view address) const { return balancer_.findHost(address); }
+  // In a stop: calls that are taken from now on are over by then.
+  void answerWithin(ochrehill::Duration left) { answerBy_ = now() + left; }
   std::size_t openCalls() const { return calls_.size(); }  // also those whose attempt is not over yet
   std::size_t unanswered() const { return unanswered_; }   // neither replied to nor abandoned
   // Replies by their verdict since the start, for each name that a class has had.
@@ -144,7 +146,7 @@
   std::vector<CallId> over_;                    // may be dropped once the actions are done
   std::deque<AttemptEnd> ends_;                 // raised while actions are carried out
   std::vector<ochrehill::Action> actions_;      // being carried out; kept for its memory
-  ochrehill::Time wakeAt_{};
+  ochrehill::Time wakeAt_{}, answerBy_ = ochrehill::Time::max();
   ClassTable classes_;
   std::vector<Tally> tallies_;
   std::vector<std::size_t> tallyOf_;  // into tallies_, by class
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -65,7 +65,7 @@
   void tellClients() { tellClients_ = true; }  // from now on requests come with ClientRequest::client
   void lastAnswers();                          // from now on every answer closes its connection
   void stopListening();  // takes what waits, then closes the listener; clients that are there stay
-  void stopAccepting();  // that, and closes idle connections
+  void stopAccepting();  // that, and closes connections that are idle, or become so
   std::size_t connections() const { return open_; }
 
   std::function<void()> onEmpty;  // after stopAccepting, once: the last connection is closed
@@ -78,6 +78,7 @@
 
   void accept();
   bool takeWaiting(std::size_t most);
+  void takeAll();
   void admit(boost::asio::ip::tcp::socket socket);
   bool makeRoom();
   void keepRoom();
@@ -97,7 +98,7 @@
   std::size_t open_ = 0, bodies_ = 0;
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   ExchangeId lastExchange_ = 0;
-  bool last_ = false, tellClients_ = false;
+  bool last_ = false, closing_ = false, tellClients_ = false;
   Lifetime lifetime_;  // of what the event loop is still to call
 };
 
--- /dev/null
+++ b/src/http/session.hpp
@@ -0,0 +1,87 @@
+// One connection of a client: reads its requests one after the other, strictly and within bounds, and writes
+// the answers. Its states, and what each event does in them: docs/design/http-session.md.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/body_stream.hpp"
+#include "http/framing.hpp"
+#include "http/message.hpp"
+#include "http/server.hpp"
+
+namespace cairnjunction {
+
+class HttpServer::Session : public std::enable_shared_from_this<Session> {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  Session(HttpServer& server, boost::asio::ip::tcp::socket socket);
+
+  void start(Queue::iterator place);  // its place in the queue of State::fresh
+  void answer(HttpAnswer answer);     // of the request that was handed over
+  void close();                       // at once, whatever is under way; the server is told
+  void readable();                    // there may be something to read
+
+  // Nothing of a request is here or has come to the socket.
+  bool silent() const { return buffer_.size() == 0 && !unread(); }
+  bool unread() const;                                // something has come to the socket
+  Clock::time_point since() const { return since_; }  // it is in its state
+  State state() const { return state_; }
+
+ private:
+  void become(State state);
+  void arm();
+
+  // Reading a request.
+  void renew();
+  void consume();
+  void taken();
+  bool tooSlow(std::size_t held) const;
+  void goOn();
+  void reject(boost::beast::http::status status);
+  const boost::asio::ip::address& client();
+
+  // While its answer is awaited.
+  void ahead();
+  void holdAhead();
+  void leaveAhead() { server_->bodies_ -= std::exchange(ahead_, 0); }
+  void gone();
+
+  // Writing an answer, and what comes after it.
+  void write();
+  void pump();
+  void next();
+  void linger();
+  void release() { server_->bodies_ -= std::exchange(charged_, 0); }
+
+  HttpServer* server_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  HeadScanner scanner_{HeadScanner::Kind::request};
+  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+  std::string response_;
+  State state_ = State::fresh;
+  Queue::iterator place_;
+  ExchangeId exchange_ = 0;
+  std::optional<boost::asio::ip::address> client_;
+  Clock::time_point since_ = Clock::now(), begunAt_;  // of the state; of a request's first byte
+  std::size_t discarded_ = 0, charged_ = 0;
+  std::size_t ahead_ = 0, droppedAhead_ = 0;  // sent before its turn: held, and read without being kept
+  bool overrun_ = false;                      // of that there was too much
+  bool begun_ = false, headSeen_ = false, bodyBegun_ = false, armed_ = false, keepAlive_ = false;
+  bool first_ = true, old_ = false, writing_ = false, keepAfter_ = false;
+  boost::beast::http::request_header<> head_;  // of a body in chunks, without what stood behind them
+  std::shared_ptr<BodyStream> rest_;           // of the answer
+  Framing framing_ = Framing::length;
+};
+
+}  // namespace cairnjunction
--- a/src/jsonrpc/server.cpp
+++ b/src/jsonrpc/server.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t kDiscardMost = 256 << 10;               // and so much of what it sends is read out
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);  // with no room or no descriptor left
 constexpr std::size_t kAcceptAtOnce = 32;                     // then those that are connected have a turn
+constexpr std::size_t kBacklogMost = 4096;                    // as long as a listener's queue is by default
 constexpr std::size_t kKeepBuffer = 4096;  // an empty buffer larger than this is given back
 // Of a client that has enough open so much is read on, or its leaving would not be seen; while half of what
 // may be held in all is free.
@@ -386,7 +387,7 @@
 void Server::accept() {
   acceptor_.async_wait(tcp::acceptor::wait_read, lifetime_.guard([this](error_code ec) {
     if (ec || !acceptor_.is_open()) return;
-    if (takeWaiting()) return accept();
+    if (takeWaiting(kAcceptAtOnce)) return accept();
     // Danger: with no descriptor left the listener stays readable, and the loop would spin.
     again_.expires_after(kAcceptAgain);
     again_.async_wait(lifetime_.guard([this](error_code waitError) {
@@ -395,8 +396,8 @@
   }));
 }
 
-bool Server::takeWaiting() {
-  for (std::size_t i = 0; i < kAcceptAtOnce; ++i) {
+bool Server::takeWaiting(std::size_t most) {
+  for (std::size_t i = 0; i < most; ++i) {
     if (connections_.size() >= limits_.connections && !makeRoom()) return false;
     error_code ec;
     tcp::socket socket(io_);
@@ -440,7 +441,7 @@
 }
 
 void Server::stopAccepting() {
-  takeWaiting();
+  takeWaiting(kBacklogMost);  // what waits may hold calls already
   stopping_ = true;
   error_code ignored;
   acceptor_.close(ignored);
--- a/src/jsonrpc/server.hpp
+++ b/src/jsonrpc/server.hpp
@@ -67,7 +67,7 @@
   using List = std::list<Connection*>;
 
   void accept();
-  bool takeWaiting();
+  bool takeWaiting(std::size_t most);
   bool makeRoom();
   void keepWithin();
   void sweep();
--- a/tests/app/gateway_test.cpp
+++ b/tests/app/gateway_test.cpp
@@ -820,6 +820,68 @@
   EXPECT_FALSE(taken->answers[0].keep_alive());
 }
 
+// What is taken late in a stop is told to its host with the time that is left before the kill.
+TEST_F(GatewayTest, ARequestThatIsWholeOnlyLateInAStopIsOverBeforeTheKill) {
+  for (auto& grade : config["settings"]["grades"]) {
+    grade["aimNs"] = 500'000'000;
+    grade["giveUpNs"] = 3'000'000'000;
+    grade["lateShare"] = 0.5;  // so its whole deadline counts
+  }
+  std::vector<int> told;
+  twoHosts([&](PeerConnection& c, std::size_t) {
+    told.push_back(std::stoi(c.request["X-Deadline-Ms"].to_string()));
+    c.reply(answerText(200, "", "ok"));
+  });
+  auto early = client(), late = client();
+  const std::string whole = text("write");
+  late->send(whole.substr(0, whole.size() / 2));
+  early->send(text("write"));
+  ASSERT_TRUE(until([&] { return early->answers.size() == 1; }));
+  gateway->drain([] {});
+  // Resting connections are closed at the end of the time in which connections are taken.
+  ASSERT_TRUE(until([&] { return early->closedByPeer; }));
+  late->send(whole.substr(whole.size() / 2));
+  ASSERT_TRUE(until([&] { return late->answers.size() == 1; }));
+  EXPECT_EQ(late->answers[0].body(), "ok");
+  ASSERT_EQ(told.size(), 2u);
+  EXPECT_GT(told[0], 2900);
+  const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(kAcceptOn);
+  EXPECT_LE(told[1], (std::chrono::milliseconds(3000) + kKillSlack - passed).count() - 300);
+}
+
+// Hosts hang in the moment of the stop: each open request has its answer by its own time, and the process
+// ends.
+TEST_F(GatewayTest, AStopWhileAllHostsHangEndsWithAnAnswerToEach) {
+  for (const std::int64_t ms : {200, 1000}) {
+    SCOPED_TRACE(ms);
+    for (auto& grade : config["settings"]["grades"]) {
+      grade["aimNs"] = ms * 500'000;
+      grade["giveUpNs"] = ms * 1'000'000;
+    }
+    hosts.clear();
+    discovery.list = json::array();
+    config.erase("known");
+    twoHosts([](PeerConnection&, std::size_t) {});
+    std::vector<std::shared_ptr<Client>> clients;
+    for (int i = 0; i < 12; ++i) {
+      clients.push_back(client());
+      clients.back()->send(text(i % 3 == 0 ? "read" : i % 3 == 1 ? "write" : "put"));
+    }
+    ASSERT_TRUE(until([&] {
+      std::size_t answered = 0;
+      for (const auto& c : clients) answered += !c->answers.empty();
+      return gateway->engine().unanswered() + answered == clients.size();
+    }));
+    bool done = false;
+    gateway->drain([&] { done = true; });
+    ASSERT_TRUE(until([&] { return done; }));
+    for (const auto& c : clients) {
+      ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+      EXPECT_GE(c->answers[0].result_int(), 500u);
+    }
+  }
+}
+
 // --- What is kept ---------------------------------------------------------------------------------------
 
 TEST_F(GatewayTest, HostsThatCameAndWentAreForgotten) {
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -122,6 +122,51 @@
 
 TEST_F(RunningProgram, SigtermEndsItWithZero) {}
 
+// Signals that wait together: the process is stopped while they are sent.
+TEST_F(RunningProgram, SignalsThatComeTogetherEndItAsOneDoes) {
+  for (const auto& signals : std::vector<std::vector<int>>{
+           {SIGHUP, SIGTERM}, {SIGTERM, SIGHUP, SIGTERM}, {SIGHUP, SIGHUP, SIGTERM, SIGINT}}) {
+    kill(pid, SIGSTOP);
+    for (const int signal : signals) kill(pid, signal);
+    kill(pid, SIGCONT);
+    EXPECT_EQ(exitCode(pid), 0);
+    pid = run("GW_CONFIG=" + path);
+    ASSERT_EQ(up(), 200u);
+  }
+}
+
+// Asked again while it stops, and given new settings then: it finishes as it would have.
+TEST_F(RunningProgram, SignalsWhileItStopsChangeNothing) {
+  kill(pid, SIGTERM);
+  unsigned status = 0;
+  while ((status = up()) == 200u) {
+  }
+  EXPECT_EQ(status, 503u) << "it stops, and still answers";
+  for (const int signal : {SIGTERM, SIGHUP, SIGINT, SIGTERM}) kill(pid, signal);
+  EXPECT_EQ(up(), 503u);
+  EXPECT_EQ(exitCode(pid), 0);
+  pid = run("GW_CONFIG=" + path);
+  ASSERT_EQ(up(), 200u);
+}
+
+// It knows no host, and discovery takes its calls and says nothing.
+TEST_F(RunningProgram, AStopBeforeItIsReadyEndsIt) {
+  kill(pid, SIGTERM);
+  EXPECT_EQ(exitCode(pid), 0);
+  tcp::acceptor silent(io, loopback());
+  config["discovery"] = textOf(silent.local_endpoint());
+  config.erase("known");
+  write(config.dump());
+  pid = run("GW_CONFIG=" + path);
+  EXPECT_EQ(up(), 503u);
+  kill(pid, SIGTERM);
+  EXPECT_EQ(exitCode(pid), 0);
+  config["known"] = {{"rev", 1}, {"all", true}, {"targets", {target("s-0", loopback(1))}}};
+  write(config.dump());
+  pid = run("GW_CONFIG=" + path);
+  ASSERT_EQ(up(), 200u);
+}
+
 TEST_F(RunningProgram, SighupTakesAnotherDiscoveryAndABadFileChangesNothing) {
   tcp::acceptor discovery(io, loopback());
   config["discovery"] = textOf(discovery.local_endpoint());
--- a/tests/jsonrpc/upstream_test.cpp
+++ b/tests/jsonrpc/upstream_test.cpp
@@ -293,6 +293,7 @@
   AttemptKey sendBehindALargeOne() {
     limits.streams = 100;
     limits.unsentBytes = 64 << 20;
+    limits.cancelWait = kPatience;
     acceptor.open(tcp::v4());
     acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
     acceptor.bind(loopback());
