A used connection rests 5 ms behind an answer; tests hold the ports they come back to

A host of that test dies and listens again at its port, which was anybody's in between: the system gave it to a connection of another test. Five more tests looked up a port, freed it and relied on it (refused dials, a server that is gone, the program's own listener, keepers). (2) By reading: a host may answer twice, the second time some milliseconds late; over HTTP nothing tells whose answer it is, and a request written in between has it as its own.

Change: (1) ReservedPort binds a port without listening for as long as the test lives. (2) A connection is written to again once it has rested 5 ms, as phase `quiet` of its attempt; of several the latest that has rested is taken. What ends the attempt in that phase ends it as never run, also a drain or a move of its host. (3) Settings that can't be kept are refused by name: a window of repeats or a time for connecting that is not above 0, no memory, another registryMode than ask and push.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -61,8 +61,12 @@
   read(grade, "effect", effect);
   read(grade, "group", group);
   if (effect == "retryable") c.effect = ochrehill::Effect::retryable;
-  else if (effect == "dedup") c.effect = ochrehill::Effect::dedup;
-  else if (effect != "fragile") throw BadConfig("effect: unknown '" + effect + "'");
+  else if (effect == "dedup") {
+    c.effect = ochrehill::Effect::dedup;
+    // Danger: hosts that drop repeats for no time at all drop none, and the promise would be an empty one.
+    if (c.window <= Duration{})
+      throw BadConfig("windowNs: class '" + c.name + "' has its repeats dropped, so it needs one above 0");
+  } else if (effect != "fragile") throw BadConfig("effect: unknown '" + effect + "'");
   if (group == "zone") c.group = ochrehill::Group::zone;
   else if (group == "cell") c.group = ochrehill::Group::cell;
   else if (group != "all") throw BadConfig("group: unknown '" + group + "'");
@@ -84,10 +88,13 @@
   read(settings, "registryMode", registryMode);
   read(settings, "weights", weights);
   read(settings, "stepNs", s.step);
+  if (!registryMode.empty() && registryMode != "ask" && registryMode != "push")
+    throw BadConfig("registryMode: '" + registryMode + "' is neither ask nor push");
   s.askDiscovery = registryMode == "ask";
   s.liveWeights = weights == "live";
   read(part(settings, "domain"), "warmKeys", s.warmKeys);
   const json& ceilings = part(settings, "ceilings");
+  requirePositive(ceilings, "connectTimeoutNs");
   read(ceilings, "retryAfter", s.retryAfter);
   read(ceilings, "cancel", s.cancel);
   requirePositive(ceilings, "maxAttempts");
@@ -201,6 +208,7 @@
   read(json, "seed", seed);
   if (!seed.empty()) config.module.seed = readSeed(seed);
   read(part(json, "limits"), "sockets", config.sockets);
+  requirePositive(part(json, "limits"), "memory_mb");
   read(part(json, "limits"), "memory_mb", config.memoryMb);
   if (config.sockets < 64) throw BadConfig("sockets: at least 64 are needed");
   config.connectTimeout = std::chrono::milliseconds(250);
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
+#include <iterator>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -45,7 +46,14 @@
 }  // namespace
 
 struct HttpUpstream::Connection : std::enable_shared_from_this<Connection> {
-  enum class Phase { connecting, writing, reading, idle, closed };
+  enum class Phase {
+    connecting,
+    quiet,  // an attempt has it, and it rests for as long as something may yet come behind the last answer
+    writing,
+    reading,
+    idle,
+    closed
+  };
 
   HttpUpstream* pool;
   HostId host;
@@ -111,18 +119,34 @@
       if (connectError) return self->end(Outcome::connectFailed, faultOfDial(connectError));
       self->up = true;
       self->pool->count(self->host, 0, 1);
-      // Danger: the list may have drained, dropped or moved the host meanwhile, and what is written now would
-      // be new to it. Nothing was, so it never ran.
-      const auto known = self->pool->hosts_.find(self->host);
-      if (known == self->pool->hosts_.end() || !known->second.serving ||
-          known->second.endpoint != self->endpoint)
-        return self->end(Outcome::connectFailed, Fault::withdrawn);
+      if (!self->wanted()) return self->end(Outcome::connectFailed, Fault::withdrawn);
       error_code ignored;
       self->socket.set_option(tcp::no_delay(true), ignored);
       self->write();
     });
   }
 
+  // Danger: the list may have drained, dropped or moved the host since the attempt began, and what is written
+  // then would be new to it. Nothing was, so it never ran.
+  bool wanted() const {
+    const auto known = pool->hosts_.find(host);
+    return known != pool->hosts_.end() && known->second.serving && known->second.endpoint == endpoint;
+  }
+
+  // On one that was used before.
+  void writeWhenQuiet() {
+    const auto at = idleSince + pool->limits_.quiet;
+    if (Clock::now() >= at) return write();
+    phase = Phase::quiet;
+    timer.expires_at(at);
+    timer.async_wait([self = shared_from_this(), mine = ++turn](error_code ec) {
+      if (ec || mine != self->turn || self->phase != Phase::quiet) return;
+      if (!self->wanted()) self->end(Outcome::connectFailed, Fault::withdrawn);
+      else if (!self->usable()) self->end(Outcome::connectFailed, Fault::lostInWrite);
+      else self->write();
+    });
+  }
+
   // Until the last byte is written it never ran, so both its times end it as that.
   void write() {
     phase = Phase::writing;
@@ -356,6 +380,7 @@
     socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
       self->watching = false;
       if (self->phase == Phase::idle) self->pool->dropIdle(self);
+      else if (self->phase == Phase::quiet) self->end(Outcome::connectFailed, Fault::lostInWrite);
     });
   }
 
@@ -428,7 +453,7 @@
   connection->writeBy = limits.written == Duration::max() ? Clock::time_point::max() : now + limits.written;
   busy_.emplace(key, connection);
   if (fresh) connection->connect();
-  else connection->write();
+  else connection->writeWhenQuiet();
 }
 
 void HttpUpstream::cancel(AttemptKey key) {
@@ -442,7 +467,9 @@
   const auto it = busy_.find(key);
   if (it == busy_.end()) return;
   const auto connection = it->second;
-  if (connection->phase == Connection::Phase::connecting || connection->phase == Connection::Phase::writing)
+  const Connection::Phase phase = connection->phase;
+  if (phase == Connection::Phase::connecting || phase == Connection::Phase::quiet ||
+      phase == Connection::Phase::writing)
     connection->end(Outcome::connectFailed, Fault::withdrawn);
 }
 
@@ -453,9 +480,14 @@
 
 std::shared_ptr<HttpUpstream::Connection> HttpUpstream::takeIdle(Host& host) {
   auto& idle = host.idle;
+  const auto quietSince = Clock::now() - limits_.quiet;
   while (!idle.empty()) {
-    const auto connection = std::move(idle.back());
-    idle.pop_back();
+    // The latest that has rested, so that few are kept in use; where none has, the one that will be first.
+    const auto rested =
+        std::find_if(idle.rbegin(), idle.rend(), [&](const auto& c) { return c->idleSince <= quietSince; });
+    const auto chosen = rested == idle.rend() ? idle.begin() : std::prev(rested.base());
+    const auto connection = std::move(*chosen);
+    idle.erase(chosen);
     if (!outlived(*connection) && connection->usable()) return connection;
     connection->close();
   }
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -27,6 +28,9 @@
     std::size_t connections = 256;         // over all hosts
     ochrehill::Duration connectTimeout{};  // for a new one
     ochrehill::Duration idleClose{};       // the host closes idle ones after this at the latest; 0 = never
+    // Nothing is written to a connection for so long after an answer. Danger: a host that answers twice does
+    // it some milliseconds late, and the second answer would be taken for that to the next request.
+    ochrehill::Duration quiet = std::chrono::milliseconds(5);
   };
   using Ended = std::function<void(AttemptEnd)>;
 
--- a/tests/app/config_test.cpp
+++ b/tests/app/config_test.cpp
@@ -131,6 +131,34 @@
   expectBad(j, "twice");
 }
 
+// What a gateway could not keep, or could take for two things, is no setting.
+TEST(Config, WhatCanNotBeKeptIsNamed) {
+  for (const json& bad : {json(0), json(-1), json(nullptr)}) {
+    json j = configJson();
+    j["settings"]["grades"][2]["windowNs"] = bad;
+    expectBad(j, "windowNs");
+    j = configJson();
+    j["settings"]["ceilings"]["connectTimeoutNs"] = bad;
+    expectBad(j, "connectTimeoutNs");
+    j = configJson();
+    j["limits"]["memory_mb"] = bad;
+    expectBad(j, "memory_mb");
+  }
+  json j = configJson();
+  j["settings"]["grades"][2].erase("windowNs");
+  expectBad(j, "windowNs");
+  j = configJson();
+  j["settings"]["grades"][1]["windowNs"] = 0;  // of a class whose repeats nobody drops
+  EXPECT_NO_THROW(parse(j));
+  j = configJson();
+  j["settings"]["registryMode"] = "pull";
+  expectBad(j, "registryMode");
+  for (const char* good : {"ask", "push"}) {
+    j["settings"]["registryMode"] = good;
+    EXPECT_NO_THROW(parse(j));
+  }
+}
+
 TEST(Config, AKeyThatTheFileInForceHasMayNotBeMissing) {
   const json whole = configJson();
   const ConfigShape inForce = parse(whole).shape;
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -81,15 +81,13 @@
 class RunningProgram : public ::testing::Test {
  protected:
   asio::io_context io;
+  const ReservedPort port{io};  // held while no gateway has it
   json config = configJson();
   const std::string path = ::testing::TempDir() + "program_config.json";
   pid_t pid = 0;
 
   void SetUp() override {
-    {
-      tcp::acceptor probe(io, loopback());
-      config["listen"] = textOf(probe.local_endpoint());
-    }
+    config["listen"] = textOf(port.endpoint);
     config["known"] = {{"rev", 1}, {"all", true}, {"targets", {target("s-0", loopback(1))}}};
     write(config.dump());
     pid = run("GW_CONFIG=" + path);
--- a/tests/app/routes_test.cpp
+++ b/tests/app/routes_test.cpp
@@ -140,11 +140,9 @@
 }
 
 TEST_F(RoutesTest, BackupsServeOnlyWhileNoOtherCan) {
-  const std::string gone = textOf([&] {
-    tcp::acceptor closed(io, loopback());
-    return closed.local_endpoint();
-  }());
-  route::PoolServer first = server(gone), backup = server(addPeer("backup")), down = server(addPeer("down"));
+  const ReservedPort gone(io);
+  route::PoolServer first = server(textOf(gone.endpoint)), backup = server(addPeer("backup")),
+                    down = server(addPeer("down"));
   first.failTimeout = std::chrono::milliseconds(300);
   backup.backup = true;
   down.down = true;
--- a/tests/fleet/rig.hpp
+++ b/tests/fleet/rig.hpp
@@ -58,6 +58,7 @@
  protected:
   const std::string dir = ::testing::TempDir() + "fleet_" + std::to_string(::getpid()) + "/";
   std::vector<unsigned short> ports;
+  std::vector<std::unique_ptr<ReservedPort>> reserved;  // they are held for as long as the test lasts
   std::map<int, std::unique_ptr<KeeperProcess>> keepers;
   std::vector<std::unique_ptr<fleet::Journal>> journals;  // outlive the members that write them
   struct Seen {
@@ -75,13 +76,10 @@
     // own.
     static unsigned short next = 11000;
     while (ports.size() < 6) {
-      tcp::acceptor probe(io);
-      probe.open(tcp::v4());
-      probe.set_option(tcp::acceptor::reuse_address(true));
-      error_code ec;
-      probe.bind(loopback(next), ec);
-      if (!ec) ports.push_back(next);
-      ++next;
+      auto port = std::make_unique<ReservedPort>(io, next++);
+      if (!port->held()) continue;
+      ports.push_back(port->endpoint.port());
+      reserved.push_back(std::move(port));
     }
     std::ofstream(dir + "fleet.toml") << fileText();
   }
--- a/tests/jsonrpc/upstream_test.cpp
+++ b/tests/jsonrpc/upstream_test.cpp
@@ -148,12 +148,8 @@
     [](const auto& info) { return info.param.name; });
 
 TEST_F(UpstreamTest, AWorkerThatRefusesConnectionsProvesThatNothingRan) {
-  tcp::endpoint nobody;
-  {
-    tcp::acceptor probe(io, loopback());
-    nobody = probe.local_endpoint();
-  }
-  make(nobody);
+  const ReservedPort nobody(io);
+  make(nobody.endpoint);
   const AttemptKey one = send(), two = send();
   ASSERT_TRUE(until([&] { return ends.size() == 2; }));
   EXPECT_EQ(endOf(one), O::connectFailed);
--- a/tests/membership/pool_facts_test.cpp
+++ b/tests/membership/pool_facts_test.cpp
@@ -29,6 +29,8 @@
   std::vector<HostConnections> told;
   CallId last = 0;
 
+  std::chrono::milliseconds quiet = 5ms;  // behind an answer, over HTTP
+
   void make(std::size_t connections = 10, std::chrono::milliseconds connectTimeout = 60s) {
     const auto ended = [this](AttemptEnd end) { ends.push_back(std::move(end)); };
     if (GetParam().jsonRpc) {
@@ -39,6 +41,7 @@
       pool = std::make_unique<jsonrpc::Upstream>(io, limits, ended);
     } else {
       HttpUpstream::Limits limits;
+      limits.quiet = quiet;
       limits.connections = connections;
       limits.connectTimeout = connectTimeout;
       pool = std::make_unique<HttpUpstream>(io, limits, ended);
@@ -112,10 +115,8 @@
 
 TEST_P(PoolFacts, RefusedIsToldAsRefused) {
   make();
-  tcp::acceptor gone(io, loopback());
-  const tcp::endpoint at = gone.local_endpoint();
-  gone.close();
-  pool->list(1, at, true);
+  const ReservedPort nobody(io);
+  pool->list(1, nobody.endpoint, true);
   send();
   const AttemptEnd e = end();
   EXPECT_EQ(e.outcome, Outcome::connectFailed);
@@ -203,6 +204,102 @@
   EXPECT_EQ(end().outcome, Outcome::served) << "at the new address";
 }
 
+// --- What comes behind an answer --------------------------------------------------------------------------
+
+// Over HTTP nothing tells whose answer it is: so nothing is written while one more may come. Over JSON-RPC
+// the id does, and it is nobody's.
+TEST_P(PoolFacts, ASecondAnswerIsNeverTakenForThatToTheNextCall) {
+  if (GetParam().jsonRpc) return;  // EndTheCallsAsTheTableSays has it
+  quiet = 600s;
+  make();
+  pool->list(1, serve(), true);
+  send();
+  EXPECT_EQ(end().outcome, Outcome::served);
+  send();
+  http->connections.front()->reply(answerText(200, "", "once more"));
+  const AttemptEnd e = end();
+  EXPECT_EQ(e.outcome, Outcome::connectFailed) << "it was never written";
+  EXPECT_EQ(e.fault, Fault::lostInWrite);
+  EXPECT_EQ(http->requests.size(), 1u);
+  EXPECT_EQ(now().open, 0u);
+  send();
+  EXPECT_EQ(end().outcome, Outcome::served) << "on another connection";
+}
+
+// Whatever ends the attempt while its connection rests, nothing of it came to the host.
+TEST_P(PoolFacts, WhileItsConnectionRestsAnAttemptMayEndInAnyWay) {
+  if (GetParam().jsonRpc) return;
+  quiet = 600s;
+  for (const int way : {0, 1, 2, 3, 4, 5}) {
+    SCOPED_TRACE(way);
+    make();
+    pool->list(1, serve(), true);
+    send();
+    EXPECT_EQ(end().outcome, Outcome::served);
+    const AttemptKey key = send();
+    Outcome expected = Outcome::connectFailed;
+    if (way == 0) pool->withdraw(key);
+    if (way == 1) pool->cancel(key), expected = Outcome::cancelled;
+    if (way == 2) http->connections.front()->close();
+    if (way == 3) http->connections.front()->reset();
+    if (way >= 4) {
+      // The host is drained, or moves: found out when it would be written, so with a shorter rest.
+      HttpUpstream::Limits limits;
+      limits.quiet = 1s;  // long enough that the list is told within it
+      limits.connectTimeout = 60s;
+      static_cast<HttpUpstream&>(*pool).setLimits(limits);
+      pool->withdraw(key);
+      end();
+      send();
+      EXPECT_EQ(end().outcome, Outcome::served);
+      send();
+      if (way == 4) pool->list(1, http->endpoint, false);
+      else pool->list(1, loopback(9), true);
+    }
+    const std::size_t before = http->requests.size();
+    const AttemptEnd e = end();
+    EXPECT_EQ(e.outcome, expected);
+    if (way >= 4) EXPECT_EQ(e.fault, Fault::withdrawn);
+    EXPECT_EQ(http->requests.size(), before);
+    EXPECT_EQ(now().open, 0u);
+  }
+}
+
+TEST_P(PoolFacts, AConnectionThatHasRestedIsUsedAgain) {
+  quiet = 30ms;
+  make();
+  pool->list(1, serve(), true);
+  for (int i = 0; i < 3; ++i) {
+    send();
+    const AttemptEnd e = end();
+    EXPECT_EQ(e.outcome, Outcome::served);
+    EXPECT_EQ(e.carrier, i == 0 ? Carrier::fresh : Carrier::reused);
+  }
+  EXPECT_EQ(now().open, 1u);
+}
+
+// Of several the latest that has rested, so that few are kept in use; where none has, the first that will
+// have.
+TEST_P(PoolFacts, OfSeveralTheLatestThatHasRestedIsUsed) {
+  if (GetParam().jsonRpc) return;
+  for (const bool rested : {false, true}) {
+    quiet = rested ? 0ms : 600s;
+    make();
+    http = std::make_unique<Peer>(io, nullptr);  // answers when it is told to
+    pool->list(1, http->endpoint, true);
+    for (int i = 0; i < 3; ++i) send();
+    ASSERT_TRUE(until([&] { return http->requests.size() == 3; }));
+    for (const auto& connection : http->connections) {
+      connection->reply(answerText(200, "", "ok"));
+      EXPECT_EQ(end().outcome, Outcome::served);
+    }
+    send();
+    http->connections[rested ? 2 : 0]->close();
+    EXPECT_EQ(end().outcome, rested ? Outcome::reset : Outcome::connectFailed) << "it was on that one";
+    EXPECT_EQ(now().open, 2u);
+  }
+}
+
 // --- What is not written yet ------------------------------------------------------------------------------
 
 TEST_P(PoolFacts, WhatIsDialledIsWithdrawnAndNeverWritten) {
--- a/tests/membership/pool_property_test.cpp
+++ b/tests/membership/pool_property_test.cpp
@@ -27,15 +27,17 @@
 // A host as a process: listens or not, holds what it was asked until the test answers.
 class Host {
  public:
-  Host(asio::io_context& io, int number) : io_(io), uid("h-" + std::to_string(number)) { listen(); }
+  Host(asio::io_context& io, int number)
+      : io_(io), port_(io), endpoint(port_.endpoint), uid("h-" + std::to_string(number)) {
+    listen();
+  }
 
   void listen() {
     acceptor_.emplace(io_);
     acceptor_->open(tcp::v4());
     acceptor_->set_option(tcp::acceptor::reuse_address(true));
-    acceptor_->bind(endpoint.port() ? endpoint : loopback());
+    acceptor_->bind(endpoint);
     acceptor_->listen();
-    endpoint = acceptor_->local_endpoint();
     accept();
   }
   bool listening() const { return acceptor_.has_value(); }
@@ -54,7 +56,6 @@
     return connections.size();
   }
 
-  tcp::endpoint endpoint;
   std::vector<std::shared_ptr<PeerConnection>> connections, held;
 
  private:
@@ -69,9 +70,11 @@
   }
 
   asio::io_context& io_;
+  const ReservedPort port_;  // it comes back to its own
   std::optional<tcp::acceptor> acceptor_;
 
  public:
+  const tcp::endpoint endpoint;
   const std::string uid;
 };
 
--- a/tests/net_peers.hpp
+++ b/tests/net_peers.hpp
@@ -32,6 +32,28 @@
 inline constexpr auto kPatience = std::chrono::seconds(60);
 
 inline tcp::endpoint loopback(unsigned short port = 0) { return {asio::ip::make_address("127.0.0.1"), port}; }
+
+// A port at which nobody listens, for as long as this lives: connections to it are refused. A listener that
+// sets SO_REUSEADDR, as Asio's do, may take it, and leave it and take it again. Danger: a port that was only
+// looked up and freed may be given to any connection of another test before it is used.
+class ReservedPort {
+ public:
+  explicit ReservedPort(asio::io_context& io, unsigned short port = 0) : socket_(io, tcp::v4()) {
+    socket_.bind(loopback(port), taken_);
+    if (taken_) return;
+    // Set behind the bind: so two that reserve never share one.
+    socket_.set_option(tcp::socket::reuse_address(true));
+    endpoint = socket_.local_endpoint();
+  }
+  bool held() const { return !taken_; }
+
+  tcp::endpoint endpoint;
+
+ private:
+  tcp::socket socket_;
+  error_code taken_;
+};
+
 inline std::string textOf(const tcp::endpoint& e) {
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
