Hosts are told the time left when they are written to; a client behind a flood is seen leaving

To blame: HttpUpstream::start made the whole text, with X-Deadline-Ms, before the dial; with a time for connecting of 0.6 s and late dials the text is that old. Ruled out: the module's span (it is what was left at the start), rests (5 ms). (2) By reading: past 4 MiB behind a request that waits nothing more was read, so the end of such a client, which comes behind what the system still holds, was never seen.

Change: the text is made when it is written. A flood is read on in steps of 4 MiB with 50 ms between them.

Tests: TheTimeToldIsWhatIsLeftWhenItIsWritten (a held dial), Phases.BehindAFlood (close, reset, half close; cancelling allowed and not; seen within 0.1 s).

--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -46,6 +46,9 @@
     std::chrono::milliseconds slow{2500};
     std::chrono::milliseconds idle{15000};  // between requests
     std::size_t leastPace = 16 << 10;       // bytes a second, of a body that is slow to come
+    // Behind each 4 MiB of what is sent behind a request that waits and is not kept. At some 10 MiB that the
+    // system holds of a connection its client's leaving is seen within 0.15 s.
+    std::chrono::milliseconds floodPause{50};
   };
   struct Callbacks {
     std::function<void(ClientRequest)> request;  // to be answered by answer(), now or later
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t kDiscardMost = 256 << 10;     // read out behind the last answer
 // What a client sends ahead of its answer is read, or its leaving behind it would not be seen: so much is
 // kept for its turn, within the bound on bodies; one that sends more is answered for the last time, and the
-// rest is read and dropped, up to what no client in its senses sends.
+// rest is read and dropped, so much of it between two pauses (Limits::floodPause).
 constexpr std::size_t kAheadMost = 64 << 10;
 constexpr std::size_t kAheadDropMost = 4 << 20;
 
@@ -81,7 +81,7 @@
 void HttpServer::Session::readable() {
   if (state_ == State::writing || state_ == State::closed) return;
   error_code ec;
-  const std::size_t n = socket_.read_some(buffer_.prepare(bodyBegun_ ? kLargeChunk : kChunk), ec);
+  const std::size_t n = socket_.read_some(buffer_.prepare(bodyBegun_ || overrun_ ? kLargeChunk : kChunk), ec);
   if (ec == asio::error::would_block || ec == asio::error::try_again) return arm();
   if (ec) return state_ == State::waiting ? gone() : close();
   buffer_.commit(n);
@@ -217,8 +217,19 @@
     buffer_.consume(buffer_.size());
     leaveAhead();
   }
-  // Danger: a flood would keep the event loop busy. What is not read any more holds the client up.
   if (droppedAhead_ <= kAheadDropMost) arm();
+  else pause();
+}
+
+// Danger: a flood would keep the event loop busy. But its sender's leaving comes behind all that the system
+// still holds of it, so that has to be read.
+void HttpServer::Session::pause() {
+  droppedAhead_ = 0;
+  pause_.emplace(socket_.get_executor(), server_->limits_.floodPause);
+  pause_->async_wait([self = weak_from_this()](error_code ec) {
+    const auto here = self.lock();
+    if (!ec && here && here->state_ == State::waiting) here->arm();
+  });
 }
 
 void HttpServer::Session::holdAhead() {
--- a/src/http/session.hpp
+++ b/src/http/session.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -53,6 +54,7 @@
   // While its answer is awaited.
   void ahead();
   void holdAhead();
+  void pause();
   void leaveAhead() { server_->bodies_ -= std::exchange(ahead_, 0); }
   void gone();
 
@@ -75,8 +77,9 @@
   std::optional<boost::asio::ip::address> client_;
   Clock::time_point since_ = Clock::now(), begunAt_;  // of the state; of a request's first byte
   std::size_t discarded_ = 0, charged_ = 0;
-  std::size_t ahead_ = 0, droppedAhead_ = 0;  // sent before its turn: held, and read without being kept
-  bool overrun_ = false;                      // of that there was too much
+  std::size_t ahead_ = 0, droppedAhead_ = 0;        // sent before its turn: held, and read without being kept
+  bool overrun_ = false;                            // of that there was too much
+  std::optional<boost::asio::steady_timer> pause_;  // until more of it is read
   bool begun_ = false, headSeen_ = false, bodyBegun_ = false, armed_ = false, keepAlive_ = false;
   bool first_ = true, old_ = false, writing_ = false, keepAfter_ = false;
   boost::beast::http::request_header<> head_;  // of a body in chunks, without what stood behind them
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -64,9 +64,10 @@
   std::optional<Message> answer;  // once its head is here: the fields behind its last chunk are none of its
   std::shared_ptr<BodyStream> stream;  // it is being passed on
   bool streams = false, paused = false;
-  std::string request;      // as it is written, and behind it
-  std::string_view body;    // of the call, which lives as long as the attempt;
-  std::size_t written = 0;  // of both
+  const Call* call = nullptr;  // lives as long as the attempt; of use until it is written
+  std::string request;         // as it is written, and behind it
+  std::string_view body;       // of the call;
+  std::size_t written = 0;     // of both
   tcp::endpoint endpoint;
   bool detached = false;  // passes on an answer: no connection of its host's, as far as they are counted
   AttemptKey key;
@@ -147,9 +148,11 @@
     });
   }
 
-  // Until the last byte is written it never ran, so both its times end it as that.
+  // Until the last byte is written it never ran, so both its times end it as that. Danger: its text tells the
+  // host the time that is left, and a dial or a rest may have taken much of it.
   void write() {
     phase = Phase::writing;
+    request = wireText(*call, endpoint, deadline - Clock::now(), body);
     written = 0;
     limit(std::min(deadline, writeBy), Outcome::connectFailed, Fault::outOfTime);
     writeOn();
@@ -172,6 +175,7 @@
     }
     pool->dispatched();
     body = {};
+    call = nullptr;
     limit(deadline, Outcome::timeout);
     read();
   }
@@ -446,7 +450,7 @@
   }
   connection->key = key;
   connection->streams = call.streams && started_;
-  connection->request = wireText(call, known->second.endpoint, limits.answer, connection->body);
+  connection->call = &call;
   connection->endpoint = known->second.endpoint;
   connection->sentAt = now;
   connection->deadline = now + std::max(limits.answer, Duration::zero());
--- a/tests/http/leaving_test.cpp
+++ b/tests/http/leaving_test.cpp
@@ -50,13 +50,15 @@
   void addHost(const tcp::endpoint& at) {
     discovery.list.push_back(target("s-" + std::to_string(discovery.list.size()), at));
   }
-  void start(bool cancel) {
+  void start(bool cancel, std::chrono::milliseconds floodPause = HttpServer::Limits().floodPause) {
     config["settings"]["ceilings"]["cancel"] = cancel;
     config["settings"]["ceilings"]["connectTimeoutNs"] = 60'000'000'000;
     config["discovery"] = textOf(discovery.peer.endpoint);
     config["known"] = {{"rev", 1}, {"all", true}, {"targets", discovery.list}};
-    gateway = std::make_unique<Gateway>(io, parseConfig(config, [](const char*) { return nullptr; }),
-                                        longWatches(), [](const std::string&) {});
+    Gateway::Waits waits = longWatches();
+    waits.clients.floodPause = floodPause;
+    gateway = std::make_unique<Gateway>(io, parseConfig(config, [](const char*) { return nullptr; }), waits,
+                                        [](const std::string&) {});
   }
   std::string text(const std::string& kind, const std::string& fields = "", const std::string& body = "") {
     const std::string id = "X-Request-Id: r" + std::to_string(++serial) + "\r\n";
@@ -273,7 +275,7 @@
   std::shared_ptr<PeerConnection> held;
   Peer host(io, [&](PeerConnection& c) { held = c.shared_from_this(); });
   addHost(host.endpoint);
-  start(true);
+  start(true, 1h);
   tcp::socket client(io);
   client.connect(gateway->listening());
   client.non_blocking(true);
@@ -301,5 +303,29 @@
   EXPECT_NE(answer.find("Connection: close"), std::string::npos);
 }
 
+// However much of it the system still holds: it is read on, and its sender's leaving is seen behind it.
+TEST_P(Phases, BehindAFlood) {
+  const auto [cancel, how] = GetParam();
+  FullListener full(io);
+  addHost(full.endpoint);
+  ASSERT_TRUE(until([&] { return full.filled > 0; }));
+  start(cancel);
+  Leaver client(io, gateway->listening());
+  client.send(text("write"));
+  ASSERT_TRUE(waits());
+  const std::string noise(1 << 20, 'x');
+  for (int i = 0; i < 20;
+       ++i) {  // until nothing more fits into the system's buffers, and what was read from them
+    client.send(noise);
+    io.poll();
+  }
+  client.leave(how);
+  ASSERT_TRUE(isOver());
+  full.acceptAll();
+  full.dropFillers();
+  ASSERT_TRUE(until([&] { return !full.taken.empty() && full.allEnded(); }));
+  EXPECT_EQ(full.received(), 0u);
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
--- a/tests/membership/pool_facts_test.cpp
+++ b/tests/membership/pool_facts_test.cpp
@@ -300,6 +300,32 @@
   }
 }
 
+// A host is told the time that is left when it is asked, not when the attempt began to dial.
+TEST_P(PoolFacts, TheTimeToldIsWhatIsLeftWhenItIsWritten) {
+  if (GetParam().jsonRpc) return;
+  using Clock = std::chrono::steady_clock;
+  const auto told = [](const std::string& text) {
+    const std::string name = "X-Deadline-Ms: ";
+    return std::chrono::milliseconds(std::stoll(text.substr(text.find(name) + name.size())));
+  };
+  make();
+  FullListener full(io);
+  ASSERT_TRUE(until([&] { return full.filled > 0; }));
+  pool->list(1, full.endpoint, true);
+  const auto begun = Clock::now();
+  send(Duration(30s));
+  ASSERT_TRUE(until([&] { return Clock::now() - begun > 100ms; }));
+  const auto dialled = std::chrono::floor<std::chrono::milliseconds>(Clock::now() - begun);
+  full.acceptAll();
+  full.dropFillers();
+  const auto asked = [&] {
+    return std::find_if(full.taken.begin(), full.taken.end(),
+                        [](const auto& c) { return c->text.ends_with("\r\n\r\n"); });
+  };
+  ASSERT_TRUE(until([&] { return asked() != full.taken.end(); }));
+  EXPECT_LE(told((*asked())->text), 30s - dialled);
+}
+
 // --- What is not written yet ------------------------------------------------------------------------------
 
 TEST_P(PoolFacts, WhatIsDialledIsWithdrawnAndNeverWritten) {
