Calls with time beyond the kill of a stop get their final answer ahead of it

Need: a host that hangs in the moment of a stop holds its calls to their deadline; where that lies beyond the kill (settings of more than 3 s, which the protocol's 3 s and 0.7 s do not cover) nobody answers them, and clients see a reset. By reading: Engine::answerWithin shortens only what is taken after the first 0.7 s of a stop; forced by a host that answers nothing, the gateway did not end.

Change: 0.3 s before the kill calls whose time goes beyond it are answered: refused if no attempt of theirs may have run, else failed; what is unwritten is withdrawn. Calls that end by themselves until then are left alone, so where all deadlines are up to 3 s nothing changes.

Tests: engine (sent, waiting for its turn, keyed that may have run, within time; cancelling or not), its property runs, and a gateway whose hosts hang.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -322,14 +322,15 @@
   // Where the listening socket is shared, the next process serves already, and clients are sent to it.
   // Where deadlines leave no time to serve on, they are sent away at once too.
   if (shared_ || serveOn() <= kAcceptOn) http_.server().lastAnswers();
-  const Time last = now() + killedAfter() - kDrainMargin;
+  killAt_ = now() + killedAfter();
   drainTimer_.expires_after(kAcceptOn);
-  drainTimer_.async_wait(lifetime_.guard([this, last](error_code ec) {
+  drainTimer_.async_wait(lifetime_.guard([this](error_code ec) {
     if (ec) return;
     // Danger: what is taken from here on is lost if the kill finds it unanswered, as a request whose second
     // half is slow to come.
-    engine_.answerWithin(last - now());
-    if (pools_) pools_->answerWithin(last - now());
+    const Duration left = killAt_ - kDrainMargin - now();
+    engine_.answerWithin(left);
+    if (pools_) pools_->answerWithin(left);
     if (shared_) return finishDrain();
     http_.server().stopListening();
     drainTimer_.expires_after(serveOn() - kAcceptOn);
@@ -345,6 +346,12 @@
   http_.server().onEmpty = [this] { emptied(httpEmpty_); };
   http_.server().stopAccepting();
   if (jsonRpc_) jsonRpc_->stopAccepting([this] { emptied(jsonRpcEmpty_); });
+  drainTimer_.expires_at(clock_.at(killAt_ - kDrainMargin));
+  drainTimer_.async_wait(lifetime_.guard([this](error_code ec) {
+    if (ec) return;
+    engine_.endCallsBeyond(killAt_);
+    if (pools_) pools_->endCallsBeyond(killAt_ - now());
+  }));
 }
 
 void Gateway::emptied(bool& front) {
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -106,6 +106,7 @@
   Discovery discovery_;
   boost::asio::steady_timer waker_, drainTimer_;
   ochrehill::Time wakeAt_{};
+  ochrehill::Time killAt_{};  // in a stop: no sooner than this
   std::function<void()> drained_;
   bool ready_ = false, draining_ = false;
   bool httpEmpty_ = false, jsonRpcEmpty_ = false;  // in a drain: no client is left
--- a/src/app/pools.cpp
+++ b/src/app/pools.cpp
@@ -217,6 +217,10 @@
   for (const auto& pool : fixed_) pool->engine().answerWithin(left);
 }
 
+void Pools::endCallsBeyond(ochrehill::Duration toKill) {
+  for (const auto& pool : fixed_) pool->engine().endCallsBeyond(pool->engine().now() + toKill);
+}
+
 void Pools::stop() {
   for (const auto& pool : fixed_) pool->upstream().stop();
 }
--- a/src/app/pools.hpp
+++ b/src/app/pools.hpp
@@ -93,7 +93,8 @@
 
   bool mayConfigure(const ochrehill::Settings& settings) const;
   void configure(const ochrehill::Settings& settings);
-  void answerWithin(ochrehill::Duration left);  // in a stop, as Engine has it
+  void answerWithin(ochrehill::Duration left);      // in a stop, as Engine has it
+  void endCallsBeyond(ochrehill::Duration toKill);  // the same
   void stop();
   std::size_t connections() const;
   const std::vector<std::unique_ptr<FixedPool>>& fixed() const { return fixed_; }
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -75,6 +75,11 @@
   it->second.ended = true;
   --unanswered_;
   over_.push_back(id);
+  letGo(id);
+}
+
+// Nobody waits for it any more.
+void Engine::letGo(CallId id) {
   balancer_.onClientGone(runtime_.now(), id);
   run();
   // Danger: where the settings rule cancelling out, an attempt that is still dialling would be written to its
@@ -83,6 +88,19 @@
   if (left != calls_.end() && left->second.out > 0) upstream_.withdraw({id, left->second.latest});
 }
 
+void Engine::endCallsBeyond(Time kill) {
+  std::vector<CallId> beyond;
+  for (const auto& [id, open] : calls_)
+    if (!open.ended && open.deadline > kill) beyond.push_back(id);
+  for (const CallId id : beyond) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || it->second.ended) continue;
+    const bool neverRan = it->second.out == 0 && !it->second.mayHaveRunAt;
+    reply(id, it->second, {neverRan ? Verdict::refused : Verdict::failed, {}, {}});
+    letGo(id);
+  }
+}
+
 void Engine::attemptEnded(AttemptEnd end) {
   ends_.push_back(std::move(end));
   run();
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -100,6 +100,9 @@
   ochrehill::HostId findHost(std::string_view address) const { return balancer_.findHost(address); }
   // In a stop: calls that are taken from now on are over by then.
   void answerWithin(ochrehill::Duration left) { answerBy_ = now() + left; }
+  // And just ahead of the kill: calls that have time beyond it, such as those whose hosts hang, get their
+  // final answer now. From the kill on nobody could give them one.
+  void endCallsBeyond(ochrehill::Time kill);
   std::size_t openCalls() const { return calls_.size(); }  // also those whose attempt is not over yet
   std::size_t unanswered() const { return unanswered_; }   // neither replied to nor abandoned
   // Replies by their verdict since the start, for each name that a class has had.
@@ -129,6 +132,7 @@
   // Until when the call's next attempt may be written; now or earlier: not at all.
   ochrehill::Time writableUntil(const Open& open) const;
   void giveUp(const ochrehill::Action& action);
+  void letGo(CallId id);
   void settle(AttemptEnd end);
   void judge(const AttemptEnd& end, const Open& open);
   void reply(CallId id, Open& open, Reply reply);
--- a/tests/app/gateway_test.cpp
+++ b/tests/app/gateway_test.cpp
@@ -1036,5 +1036,28 @@
   EXPECT_TRUE(until([&] { return c->closedByPeer; })) << "in the end they are sent away";
 }
 
+// A deadline beyond the kill, and a host that hangs: nobody could answer after it.
+TEST_F(GatewayTest, WhatAHangingHostHoldsBeyondTheKillIsAnsweredBeforeIt) {
+  for (auto& grade : config["settings"]["grades"]) {
+    grade["aimNs"] = 600'000'000'000;
+    grade["giveUpNs"] = 600'000'000'000;
+  }
+  twoHosts([](PeerConnection&, std::size_t) {});
+  std::vector<std::shared_ptr<Client>> clients;
+  for (const char* kind : {"read", "write"}) {
+    clients.push_back(client());
+    clients.back()->send(text(kind));
+  }
+  ASSERT_TRUE(until([&] { return hosts[0]->requests.size() + hosts[1]->requests.size() == 2; }));
+  bool done = false;
+  gateway->drain([&] { done = true; });
+  ASSERT_TRUE(until([&] { return done; })) << "at its kill, not at the end of their time";
+  for (const auto& c : clients) {
+    ASSERT_TRUE(until([&] { return c->closedByPeer; }));
+    ASSERT_EQ(c->answers.size(), 1u);
+    EXPECT_GE(c->answers[0].result_int(), 500u);
+  }
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -192,6 +192,52 @@
   EXPECT_TRUE(sink.replies.empty()) << "nobody waits for it";
 }
 
+// Ahead of the kill: whatever a call that has time beyond it waits for, it has its final answer then, and
+// nothing of it is begun afterwards.
+TEST_F(EngineTest, CallsThatHaveTimeBeyondTheKillEndBeforeIt) {
+  for (const bool cancel : {true, false}) {
+    SCOPED_TRACE(cancel);
+    ochrehill::Settings with = settings(7);
+    with.cancel = cancel;
+    with.classes[1].inTurn = true;
+    start(with);
+    sink.replies.clear();
+    upstream.out.clear();
+    upstream.started.clear();
+    ticket = 0;
+    for (const std::string name : {"sent", "in turn"}) {
+      Call call;
+      call.name = name;
+      call.facts.classIndex = 1;
+      call.facts.left = 900ms;
+      call.facts.key = 5;
+      call.facts.hasKey = true;
+      upstream.deadlines[name] = runtime.at + 900ms;
+      engine->take(std::move(call), sink, ++ticket);
+    }
+    const CallId again = take(2, "keyed");
+    upstream.end({again, 0}, Outcome::reset);
+    const CallId before = take(0, "within", 400ms);
+    ASSERT_EQ(upstream.started["sent"], 1);
+    ASSERT_EQ(upstream.started["in turn"], 0);
+    engine->endCallsBeyond(runtime.at + 500ms);
+    const auto verdict = [&](std::uint64_t of) { return sink.replies[of].at(0).verdict; };
+    ASSERT_EQ(sink.replies.size(), 3u);
+    EXPECT_EQ(verdict(1), Verdict::failed) << "it may run";
+    EXPECT_EQ(verdict(2), Verdict::refused) << "it was never sent";
+    EXPECT_EQ(verdict(3), Verdict::failed) << "its first attempt may have run";
+    EXPECT_EQ(engine->unanswered(), 1u);
+    const auto started = upstream.started;
+    for (const AttemptKey key : upstream.open())
+      if (key.call != before) upstream.end(key, Outcome::reset);
+    EXPECT_EQ(upstream.started, started);
+    upstream.end({before, 0}, Outcome::served);
+    EXPECT_EQ(verdict(4), Verdict::served) << "it had no time beyond";
+    EXPECT_EQ(engine->openCalls(), 0u);
+    for (const auto& [of, replies] : sink.replies) EXPECT_EQ(replies.size(), 1u);
+  }
+}
+
 // The settings may rule out cancelling: what is not written yet is taken back all the same.
 TEST_F(EngineTest, WhatItsClientLeavesUnwrittenIsWithdrawnWhetherOrNotItMayBeCancelled) {
   for (const bool cancel : {true, false})
@@ -336,7 +382,7 @@
   std::map<CallId, std::string> names;
   std::map<std::string, int> startedWhenLeft;
   for (int i = 0; i < 3000; ++i) {
-    switch (below(8)) {
+    switch (below(9)) {
       case 0:
       case 1:
       case 2: {
@@ -374,7 +420,8 @@
         engine->abandon(it->first);
         break;
       }
-      case 7: pass(std::chrono::milliseconds(below(40)));
+      case 7: pass(std::chrono::milliseconds(below(40))); break;
+      case 8: engine->endCallsBeyond(runtime.at + std::chrono::milliseconds(below(4000)));
     }
   }
   pass(2s);
