Pipelined requests count their time from their last byte, and a stop answers those it has

Change: the session keeps when what is held before its turn came (to 10 ms, 64 pieces; never told later than it was), and a request with no time left is refused and not sent on; in a stop an answer is the last once nothing more has come, read or not.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -131,7 +131,9 @@
 
 void HttpFront::take(ClientRequest& request, Call call, Engine& engine, HttpRouting::Hold hold) {
   call.streams = true;
-  call.facts.left -= (Clock::now() - request.came) + kAnswerMargin;
+  // Of one that waited behind others nothing may be left.
+  const Duration spent = (Clock::now() - request.came) + kAnswerMargin;
+  call.facts.left = std::max(call.facts.left - spent, Duration{});
   call.message.operation = engine.classes().byIndex()[call.facts.classIndex].name;
   // The id is known before the reply may come, which takes it out again.
   Open& open = open_[request.exchange];
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -24,6 +24,9 @@
 // rest is read and dropped, so much of it between two pauses (Limits::floodPause).
 constexpr std::size_t kAheadMost = 64 << 10;
 constexpr std::size_t kAheadDropMost = 4 << 20;
+// When it came is kept to this, and for so many pieces; what comes beyond them counts as come with the last.
+constexpr auto kSameMoment = std::chrono::milliseconds(10);
+constexpr std::size_t kArrivalsMost = 64;
 
 }  // namespace
 
@@ -128,7 +131,9 @@
   error_code ec;
   const std::size_t heldBefore = parser_->get().body().size();
   while (buffer_.size() > 0 && !parser_->is_done() && !ec) {
-    buffer_.consume(parser_->put(buffer_.data(), ec));
+    const std::size_t parsed = parser_->put(buffer_.data(), ec);
+    buffer_.consume(parsed);
+    parsed_ += parsed;
     if (parser_->is_header_done() && !bodyBegun_) {
       bodyBegun_ = true;
       // Danger: the parser takes what stands behind the last chunk for fields of the head.
@@ -162,7 +167,7 @@
   const bool first = std::exchange(first_, false);
   HttpRequest message = parser_->release();
   if (message.chunked()) message.base() = std::move(head_);
-  ClientRequest request{exchange_ = ++server_->lastExchange_, std::move(message), Clock::now(), {}};
+  ClientRequest request{exchange_ = ++server_->lastExchange_, std::move(message), cameAt(), {}};
   if (server_->tellClients_) request.client = client();
   become(State::waiting);
   server_->waiting_.emplace(exchange_, shared_from_this());
@@ -235,6 +240,20 @@
 void HttpServer::Session::holdAhead() {
   server_->bodies_ += buffer_.size() - ahead_;
   ahead_ = buffer_.size();
+  const std::uint64_t end = parsed_ + buffer_.size();
+  if (buffer_.size() == 0 || (!arrivals_.empty() && arrivals_.back().end >= end)) return;
+  const auto now = Clock::now();
+  const bool same =
+      !arrivals_.empty() && (arrivals_.size() >= kArrivalsMost || now - arrivals_.back().at < kSameMoment);
+  if (same) arrivals_.back().end = end;
+  else arrivals_.push_back({end, now});
+}
+
+// When the request that was just parsed had come whole: a client's time counts from then, also where it
+// waited behind others. Never later than it was.
+std::chrono::steady_clock::time_point HttpServer::Session::cameAt() {
+  std::erase_if(arrivals_, [this](const Arrival& a) { return a.end < parsed_; });
+  return arrivals_.empty() ? Clock::now() : arrivals_.front().at;
 }
 
 void HttpServer::Session::gone() {
@@ -252,7 +271,9 @@
   exchange_ = 0;
   // A client in error is left: the next it sends may be anything, and the same again costs as much.
   const bool error = http::to_status_class(answer.status) == http::status_class::client_error;
-  const bool keep = keepAlive_ && !overrun_ && !server_->last_ && (answer.fromHost || !error);
+  // Danger: in a stop, requests that came before the last answer were taken, and an end would lose them.
+  const bool last = server_->last_ && silent();
+  const bool keep = keepAlive_ && !overrun_ && !last && (answer.fromHost || !error);
   rest_ = std::move(answer.rest);
   // An old client knows no chunks: for it the end of the connection is the end of the answer.
   framing_ = !rest_ || answer.length ? Framing::length : old_ ? Framing::close : Framing::chunks;
--- a/src/http/session.hpp
+++ b/src/http/session.hpp
@@ -10,9 +10,11 @@
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/body_stream.hpp"
 #include "http/framing.hpp"
@@ -54,6 +56,7 @@
   // While its answer is awaited.
   void ahead();
   void holdAhead();
+  Clock::time_point cameAt();
   void pause();
   void leaveAhead() { server_->bodies_ -= std::exchange(ahead_, 0); }
   void gone();
@@ -77,6 +80,12 @@
   std::optional<boost::asio::ip::address> client_;
   Clock::time_point since_ = Clock::now(), begunAt_;  // of the state; of a request's first byte
   std::size_t discarded_ = 0, charged_ = 0;
+  struct Arrival {
+    std::uint64_t end;  // bytes of the connection up to here
+    Clock::time_point at;
+  };
+  std::uint64_t parsed_ = 0;                        // bytes of the connection
+  std::vector<Arrival> arrivals_;                   // of what is held before its turn
   std::size_t ahead_ = 0, droppedAhead_ = 0;        // sent before its turn: held, and read without being kept
   bool overrun_ = false;                            // of that there was too much
   std::optional<boost::asio::steady_timer> pause_;  // until more of it is read
--- a/tests/app/gateway_test.cpp
+++ b/tests/app/gateway_test.cpp
@@ -194,6 +194,25 @@
   for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(c->answers[i].body(), std::to_string(i));
 }
 
+// A request's time counts from its last byte, also while it waits behind others on its connection.
+TEST_F(GatewayTest, ARequestWhoseTimeIsUpWhenItsTurnComesIsRefusedAndNotSentOn) {
+  using Clock = std::chrono::steady_clock;
+  config["settings"]["grades"][0]["aimNs"] = config["settings"]["grades"][0]["giveUpNs"] = 100'000'000;
+  std::shared_ptr<PeerConnection> held;
+  addHost("a", [&](PeerConnection& c, std::size_t) { held = c.shared_from_this(); });
+  start();
+  auto c = client();
+  c->send(text("write") + text("read"));
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  const auto from = Clock::now();
+  ASSERT_TRUE(until([&] { return Clock::now() - from > std::chrono::milliseconds(150); }));
+  held->reply(answerText(200, "", "ok"));
+  ASSERT_TRUE(until([&] { return c->answers.size() == 2; }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+  EXPECT_EQ(c->answers[1].result_int(), 503u) << "it was never sent on";
+  EXPECT_EQ(hosts[0]->requests.size(), 1u);
+}
+
 // --- The outcome table ----------------------------------------------------------------------------------
 
 struct Row {
