What was pipelined by a client that left while its answer was written is not handed over

Cause, by reading: while an answer is written a connection is not read, so its client's end is seen only afterwards, and Session::next handed over the next request that was held before it looked; written to a resting connection, that is an attempt for a client that has gone.

Change: the next held request is taken only if the client's end is not what is left to read.

Tests: PipelinedRequestsOfAClientThatLeftWhileItsAnswerWasWrittenAreNotHandedOver; seen to fail without the look. The tests of pipelined requests wait until the system has delivered what they sent.

--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -60,6 +60,14 @@
   return socket_.available(ec) > 0 && !ec;
 }
 
+// The client's end or reset is all that is left to read.
+bool HttpServer::Session::endIsNext() {
+  char byte;
+  error_code ec;
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  return ec && ec != asio::error::would_block && ec != asio::error::try_again;
+}
+
 void HttpServer::Session::become(State state) {
   Queue& to = server_->queue(state);
   to.splice(to.end(), server_->queue(state_), place_);
@@ -326,7 +334,8 @@
 void HttpServer::Session::next() {
   renew();
   become(State::idle);
-  if (buffer_.size() > 0) return consume();
+  // Danger: nothing was read while the answer was written, and its client may have left meanwhile.
+  if (buffer_.size() > 0) return endIsNext() ? close() : consume();
   // Danger: idle connections were closed already when this answer was still on its way, and nobody would
   // close this one before the process is killed.
   if (server_->closing_ && silent()) return close();
--- a/src/http/session.hpp
+++ b/src/http/session.hpp
@@ -41,6 +41,7 @@
   State state() const { return state_; }
 
  private:
+  bool endIsNext();
   void become(State state);
   void arm();
 
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -4,6 +4,10 @@
 #include "http/server.hpp"
 
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <thread>
 
 #include "raw_peers.hpp"
 
@@ -28,6 +32,11 @@
     reset = ended && ec != asio::error::eof;
     return text;
   }
+  // All that was sent has come to the other side's system.
+  bool delivered() {
+    int left = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &left) == 0 && left == 0;
+  }
   tcp::socket socket;
   std::string text;
   bool ended = false, reset = false;
@@ -148,6 +157,7 @@
       server->lastAnswers();
       if (moment == 0) {
         client->send(behind);
+        ASSERT_TRUE(until([&] { return client->delivered(); }));
         for (int i = 0; i < 100; ++i) io.poll();  // read, and dropped
       }
       answer(0);
@@ -182,6 +192,7 @@
         server->lastAnswers();
         if (closing) server->stopAccepting();
         client->send(two.substr(0, bytes));
+        while (!client->delivered()) std::this_thread::yield();
         if (read)
           for (int i = 0; i < 10; ++i) io.poll();
         answer(0, "first");
@@ -227,6 +238,7 @@
     const auto before = Clock::now();
     if (bytes < kRequest.size()) client->send(kRequest.substr(bytes));
     client->send(kRequest);
+    ASSERT_TRUE(until([&] { return client->delivered(); }));
     for (int i = 0; i < 20; ++i) io.poll();
     const auto after = Clock::now();
     ASSERT_TRUE(later());
@@ -276,6 +288,28 @@
   EXPECT_TRUE(until([&] { return empty; }));
 }
 
+// While an answer is written nothing is read: what was pipelined behind its request is for nobody then.
+TEST_F(ServerTest, PipelinedRequestsOfAClientThatLeftWhileItsAnswerWasWrittenAreNotHandedOver) {
+  for (const bool leaves : {true, false}) {
+    SCOPED_TRACE(leaves);
+    start();
+    auto client = connect();
+    client->send(kRequest + kRequest);
+    ASSERT_TRUE(until([&] { return requests.size() == 1; }));
+    answer(0, std::string(16 << 20, 'x'));  // more than fits: it is being written
+    if (leaves) client->socket.shutdown(tcp::socket::shutdown_send);
+    while (!client->delivered()) std::this_thread::yield();
+    ASSERT_TRUE(until([&] { return client->read().size() > 16u << 20; }));
+    if (leaves) {
+      ASSERT_TRUE(until([&] { return client->read(), client->ended; }));
+    } else {
+      ASSERT_TRUE(until([&] { return requests.size() == 2; }));
+    }
+    EXPECT_EQ(requests.size(), leaves ? 1u : 2u);
+    EXPECT_TRUE(left.empty()) << "it was never taken";
+  }
+}
+
 // A client that goes away at each byte of its request, or of its answer, is told once at most and leaves
 // nothing behind.
 TEST_F(ServerTest, AClientMayGoAtAnyByteOfItsRequestAndOfItsAnswer) {
