A request whose client left before it was read is not handed over

Cause, by reading: a connection may wait to be accepted for seconds where clients crowd the descriptors; a client that gave up meanwhile leaves its request and its end behind each other, and the request was sent on before the end was read. Session::taken looks first whether the end is all that is left to read; this is the one place also for what was pipelined.

--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -170,6 +170,9 @@
 
 // Its last byte is here: from now on an answer is owed.
 void HttpServer::Session::taken() {
+  // Danger: its client may have left before it was read, as when the connection waited to be accepted, or
+  // while the answer ahead of it was written. To be sent on it would take until the end is read.
+  if (endIsNext()) return close();
   keepAlive_ = parser_->get().keep_alive();
   old_ = parser_->get().version() < 11;
   const bool first = std::exchange(first_, false);
@@ -334,8 +337,7 @@
 void HttpServer::Session::next() {
   renew();
   become(State::idle);
-  // Danger: nothing was read while the answer was written, and its client may have left meanwhile.
-  if (buffer_.size() > 0) return endIsNext() ? close() : consume();
+  if (buffer_.size() > 0) return consume();
   // Danger: idle connections were closed already when this answer was still on its way, and nobody would
   // close this one before the process is killed.
   if (server_->closing_ && silent()) return close();
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -288,6 +288,24 @@
   EXPECT_TRUE(until([&] { return empty; }));
 }
 
+// Its connection waited to be accepted, perhaps for long: with its end behind the request there is nobody.
+TEST_F(ServerTest, ARequestWhoseClientLeftBeforeItWasReadIsNotHandedOver) {
+  start();
+  for (const std::string& behind : {std::string(), kRequest, std::string("GET /re")}) {
+    auto client = connect();
+    client->send(kRequest + behind);
+    client->socket.shutdown(tcp::socket::shutdown_send);
+    while (!client->delivered()) std::this_thread::yield();  // and its end
+  }
+  auto stays = connect();
+  stays->send(kRequest);
+  ASSERT_TRUE(until([&] { return !requests.empty() && server->connections() == 1; }));
+  answer(0);
+  ASSERT_TRUE(until([&] { return stays->read().find("served") != std::string::npos; }));
+  EXPECT_EQ(requests.size(), 1u);
+  EXPECT_TRUE(left.empty());
+}
+
 // While an answer is written nothing is read: what was pipelined behind its request is for nobody then.
 TEST_F(ServerTest, PipelinedRequestsOfAClientThatLeftWhileItsAnswerWasWrittenAreNotHandedOver) {
   for (const bool leaves : {true, false}) {
