The lab's link delivers what it holds back also when its sender is gone

A keeper's late answer was written to the dead side, and Proxy closed both ways on that error, with what the other way held. Ruled out: the order was not decided in time (it was sent), the hold ended early.

Change: what the other way holds is still delivered; then the connection ends.

--- a/tools/lab/proxy.cpp
+++ b/tools/lab/proxy.cpp
@@ -89,7 +89,7 @@
                              [self = shared_from_this(), &way](error_code ec, std::size_t n) {
                                way.writing = false;
                                if (!self->owner) return;
-                               if (ec) return self->close(true);
+                               if (ec) return self->lost(way);
                                self->owner->bytes_ += n;
                                way.bytes -= n;
                                way.held.pop_front();
@@ -98,6 +98,15 @@
                              });
   }
 
+  // Whoever `way` leads to is gone. What it sent before is still on its way, if it is held back here.
+  void lost(Way& way) {
+    Way& other = &way == &out ? in : out;
+    if (other.held.empty()) return close(true);
+    way.held.clear();
+    way.bytes = 0;
+    way.ended = other.ended = true;
+  }
+
   void close(bool reset) {
     if (!owner) return;
     Proxy& proxy = *std::exchange(owner, nullptr);
@@ -156,6 +165,12 @@
   }
 }
 
+std::size_t Proxy::held() const {
+  std::size_t n = 0;
+  for (const auto& connection : connections_) n += connection->out.bytes + connection->in.bytes;
+  return n;
+}
+
 void Proxy::delay(std::chrono::milliseconds by) { delay_ = by; }
 
 void Proxy::refuse(bool on) {
--- a/tools/lab/proxy.hpp
+++ b/tools/lab/proxy.hpp
@@ -30,6 +30,7 @@
   void reset();          // all connections; a chunk that waits is written to its half before
 
   std::uint64_t bytes() const { return bytes_; }  // passed on, both ways
+  std::size_t held() const;                       // bytes, read and not passed on yet
   std::size_t connections() const { return connections_.size(); }
 
  private:
