--- a/tests/lab/proxy_test.cpp
+++ b/tests/lab/proxy_test.cpp
@@ -32,7 +32,10 @@
       receiver->send("a beat");
       for (int turn = 0; turn < 50; ++turn) io.poll();
     }
+    link.hold(true, false);  // once more, as at the begin or end of any other fault
+    for (int turn = 0; turn < 50; ++turn) io.poll();
     EXPECT_TRUE(receiver->text.empty());
+    EXPECT_EQ(link.held(), 8u);
     link.hold(false, false);
     ASSERT_TRUE(until([&] { return receiver->closedByPeer; }));
     EXPECT_EQ(receiver->text, "an order");
--- a/tools/lab/proxy.cpp
+++ b/tools/lab/proxy.cpp
@@ -30,6 +30,7 @@
   Proxy* owner;
   tcp::socket near, far;
   Way out, in;
+  bool gone = false;  // one of the two sides
 
   Connection(Proxy& proxy, tcp::socket socket)
       : owner(&proxy),
@@ -74,7 +75,7 @@
   void flush(Way& way) {
     if (way.writing || way.hold || !owner) return;
     if (way.held.empty()) {
-      if (way.ended) close(false);
+      if (way.ended && (!gone || otherOf(way).held.empty())) close(false);
       return;
     }
     if (way.held.front().due > Clock::now()) {
@@ -100,12 +101,13 @@
 
   // Whoever `way` leads to is gone. What it sent before is still on its way, if it is held back here.
   void lost(Way& way) {
-    Way& other = &way == &out ? in : out;
-    if (other.held.empty()) return close(true);
+    if (otherOf(way).held.empty()) return close(true);
+    gone = true;
     way.held.clear();
     way.bytes = 0;
-    way.ended = other.ended = true;
+    way.ended = otherOf(way).ended = true;
   }
+  Way& otherOf(const Way& way) { return &way == &out ? in : out; }
 
   void close(bool reset) {
     if (!owner) return;
