Tests let those who waited in, and see them leave, by one piece

Need: read again at the end, six tests wrote the same two steps and the same look at a listener whose queue was full.

Change: FullListener::takeAll and allLeft; all assertions stay.

--- a/tests/http/leaving_test.cpp
+++ b/tests/http/leaving_test.cpp
@@ -105,9 +105,8 @@
       ASSERT_TRUE(waits());
       client.leave(how);
       ASSERT_TRUE(isOver());
-      full.acceptAll();
-      full.dropFillers();
-      ASSERT_TRUE(until([&] { return !full.taken.empty() && full.allEnded(); }));
+      full.takeAll();
+      ASSERT_TRUE(until([&] { return full.allLeft(); }));
       EXPECT_EQ(full.received(), 0u);
       EXPECT_EQ(gateway->figures().dispatches, 0u);
     }
@@ -141,9 +140,8 @@
     for (const auto& client : clients) client->leave(how);
     ASSERT_TRUE(isOver());
     const std::size_t reached = busy.requests.size();
-    full.acceptAll();
-    full.dropFillers();
-    ASSERT_TRUE(until([&] { return !full.taken.empty() && full.allEnded(); }));
+    full.takeAll();
+    ASSERT_TRUE(until([&] { return full.allLeft(); }));
     EXPECT_EQ(full.received(), 0u);
     EXPECT_EQ(busy.requests.size(), reached);
   }
@@ -220,9 +218,8 @@
   ASSERT_GT(gateway->engine().unanswered(), 0u);
   for (const auto& client : clients) client->leave(how);
   ASSERT_TRUE(isOver());
-  full.acceptAll();
-  full.dropFillers();
-  ASSERT_TRUE(until([&] { return !full.taken.empty() && full.allEnded(); }));
+  full.takeAll();
+  ASSERT_TRUE(until([&] { return full.allLeft(); }));
   EXPECT_EQ(full.received(), 0u);
 }
 
@@ -314,16 +311,15 @@
   client.send(text("write"));
   ASSERT_TRUE(waits());
   const std::string noise(1 << 20, 'x');
-  for (int i = 0; i < 20;
-       ++i) {  // until nothing more fits into the system's buffers, and what was read from them
+  // More than fits into the system's buffers, and into what is read from them.
+  for (int i = 0; i < 20; ++i) {
     client.send(noise);
     io.poll();
   }
   client.leave(how);
   ASSERT_TRUE(isOver());
-  full.acceptAll();
-  full.dropFillers();
-  ASSERT_TRUE(until([&] { return !full.taken.empty() && full.allEnded(); }));
+  full.takeAll();
+  ASSERT_TRUE(until([&] { return full.allLeft(); }));
   EXPECT_EQ(full.received(), 0u);
 }
 
--- a/tests/membership/pool_facts_test.cpp
+++ b/tests/membership/pool_facts_test.cpp
@@ -316,8 +316,7 @@
   send(Duration(30s));
   ASSERT_TRUE(until([&] { return Clock::now() - begun > 100ms; }));
   const auto dialled = std::chrono::floor<std::chrono::milliseconds>(Clock::now() - begun);
-  full.acceptAll();
-  full.dropFillers();
+  full.takeAll();
   const auto asked = [&] {
     return std::find_if(full.taken.begin(), full.taken.end(),
                         [](const auto& c) { return c->text.ends_with("\r\n\r\n"); });
@@ -338,9 +337,8 @@
   EXPECT_EQ(e.outcome, Outcome::connectFailed);
   EXPECT_EQ(e.fault, Fault::withdrawn);
   EXPECT_EQ(now().open, 0u);
-  full.acceptAll();
-  full.dropFillers();
-  ASSERT_TRUE(until([&] { return !full.taken.empty() && full.allEnded(); }));
+  full.takeAll();
+  ASSERT_TRUE(until([&] { return full.allLeft(); }));
   EXPECT_EQ(full.received(), 0u);
 }
 
@@ -379,9 +377,8 @@
   const AttemptEnd e = end();
   EXPECT_EQ(e.outcome, Outcome::connectFailed);
   EXPECT_EQ(e.fault, Fault::outOfTime);
-  full.acceptAll();
-  full.dropFillers();
-  ASSERT_TRUE(until([&] { return !full.taken.empty() && full.allEnded(); }));
+  full.takeAll();
+  ASSERT_TRUE(until([&] { return full.allLeft(); }));
   EXPECT_EQ(full.received(), 0u);
 }
 
--- a/tests/raw_peers.hpp
+++ b/tests/raw_peers.hpp
@@ -77,6 +77,12 @@
     return std::all_of(taken.begin(), taken.end(), [](const auto& c) { return c->closedByPeer; });
   }
   void dropFillers() { fillers_.clear(); }
+  // From now on whoever waited is let in; what comes of them is seen once they have left again.
+  void takeAll() {
+    acceptAll();
+    dropFillers();
+  }
+  bool allLeft() const { return !taken.empty() && allEnded(); }
 
   tcp::endpoint endpoint;
   int filled = 0;
