A coordinator's log is in one database, and a disk that fails pauses it

With two of three so, no lease was granted.

Cause: the disk of libraft 0.15.0.

Change: raft_io, the library's public interface, with an own store behind it. Event log, fleet status and a count say so. Former folders are imported once.

A transaction rules out any order.

--- a/src/app/fleet_commands.cpp
+++ b/src/app/fleet_commands.cpp
@@ -25,6 +25,7 @@
 constexpr int kNumberWidth = 8;
 
 std::string roleOf(const json& status) {
+  if (status.contains("paused")) return "paused, " + status["paused"].get<std::string>();
   if (status["leads"]) return "leads";
   if (status["votes"]) return "votes, keeper " + status["leader"].dump() + " leads";
   return "waits for the other keepers' word";
--- a/src/consensus/raft_log.cpp
+++ b/src/consensus/raft_log.cpp
@@ -35,7 +35,7 @@
       : io_(io),
         machine_(machine),
         options_(std::move(options)),
-        pump_(io, [this] { updateLeadership(); }),
+        pump_(io, [this] { update(); }),
         stopTimer_(io) {
     try {
       start();
@@ -62,9 +62,11 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  bool isLeader() const { return caughtUp_ && !stopping_; }
+  bool isLeader() const { return caughtUp_ && !stopping_ && !storage_.pauseReason(); }
   int leader();
   void onLeadershipChange(std::function<void()> changed) { changed_ = std::move(changed); }
+  std::optional<std::string> pauseReason() const { return storage_.pauseReason(); }
+  void onPauseChange(std::function<void()> changed) { pauseChanged_ = std::move(changed); }
   void propose(const std::string& entry, Done done);
   void stop(std::function<void()> done);
 
@@ -74,10 +76,13 @@
   void openStorage();
   void bindStateMachine();
   void openRaft();
+  void openLog();
   void bootstrap();
   void startRaft();
   void require(int code, const char* step);
 
+  void update();
+  void updatePause();
   void updateLeadership();
   void requireVoting();
   void requestBarrier();
@@ -105,10 +110,13 @@
   struct raft_barrier barrier_ {};
   struct raft_transfer transfer_ {};
   std::function<void()> changed_;        // of onLeadershipChange; may be empty
+  std::function<void()> pauseChanged_;   // of onPauseChange; may be empty
   std::function<void()> stopped_;        // of stop, until it was called
   boost::asio::steady_timer stopTimer_;  // of the transfer of leadership, then of the writes under way
   bool leading_ = false;                 // by the library, when it ran last
-  bool barrierRequested_ = false;        // since it began to lead
+  bool barrierRequested_ = false;        // since it began to lead, and since the last pause
+  bool barrierPending_ = false;          // one has not come yet, of these or an earlier one
+  bool paused_ = false;                  // by the storage, when the library ran last
   bool caughtUp_ = false;                // the barrier has come: the machine has applied all before this term
   bool stopping_ = false;                // stop was called
   bool finishing_ = false;               // the transfer is over: it closes once no write is under way
@@ -132,6 +140,7 @@
   openStorage();
   bindStateMachine();
   openRaft();
+  openLog();
   bootstrap();
   startRaft();
   pump_.runSoon();
@@ -145,10 +154,9 @@
 
 void RaftLog::Impl::openStorage() {
   require(storage_.open(pump_.loop(), options_.folder, transport_), "folder");
-  raft_uv_set_segment_size(&storage_, options_.segmentBytes);
   raft_uv_set_connect_retry_delay(&storage_, kConnectRetryMs);
-  // By default the library moves a segment that it can't read out of the way, and goes on to vote without the
-  // entries that it had acknowledged.
+  // By default the library moves a file of an earlier version's log that it can't read out of the way, and
+  // goes on to vote without the entries that it had acknowledged.
   raft_uv_set_auto_recovery(&storage_, false);
 }
 
@@ -173,6 +181,8 @@
   raft_set_pre_vote(&raft_, true);
 }
 
+void RaftLog::Impl::openLog() { storage_.openLog(raft_, options_.segmentBytes); }
+
 // The first entry of a new log names the voters; a log that is there has one already.
 void RaftLog::Impl::bootstrap() {
   raft_configuration voters;
@@ -222,9 +232,27 @@
 // --- Leadership -------------------------------------------------------------------------------------------
 
 // Each time that the library has run: it does not say when it begins or ceases to lead.
-void RaftLog::Impl::updateLeadership() {
+void RaftLog::Impl::update() {
   if (closing_) return;
   requireVoting();
+  updatePause();
+  updateLeadership();
+  if (finishing_) closeIfIdle();
+}
+
+// Behind a pause it leads again by a new barrier only, also where the library has not stepped down: entries
+// of its own from before the pause may still be applied.
+void RaftLog::Impl::updatePause() {
+  const bool paused = storage_.pauseReason().has_value();
+  if (std::exchange(paused_, paused) == paused) return;
+  if (paused) {
+    barrierRequested_ = false;
+    loseLeadership();
+  }
+  if (pauseChanged_) pauseChanged_();
+}
+
+void RaftLog::Impl::updateLeadership() {
   const bool leads = raft_state(&raft_) == RAFT_LEADER;
   if (leads && !leading_) barrierRequested_ = false;
   if (!leads && leading_) {
@@ -232,14 +260,14 @@
     loseLeadership();
   }
   leading_ = leads;
-  if (leading_ && !barrierRequested_ && !stopping_) requestBarrier();
+  if (leading_ && !paused_ && !barrierRequested_ && !barrierPending_ && !stopping_) requestBarrier();
   if (stopping_ && !leading_) finishStop();
-  if (finishing_) closeIfIdle();
 }
 
 // The library leaves its part without a word where it can't go on, and the voter would stay as if it were cut
 // off.
 void RaftLog::Impl::requireVoting() {
+  if (const auto damage = storage_.damage()) throw LogError(*damage);
   if (stopping_ || raft_state(&raft_) != RAFT_UNAVAILABLE) return;
   throw LogError(options_.folder + ": the voter can't go on: " + raft_errmsg(&raft_));
 }
@@ -249,12 +277,14 @@
 void RaftLog::Impl::requestBarrier() {
   barrier_.data = this;
   barrierRequested_ = raft_barrier(&raft_, &barrier_, &Impl::onBarrier) == 0;
+  barrierPending_ = barrierRequested_;
   pump_.runSoon();
 }
 
 void RaftLog::Impl::onBarrier(struct raft_barrier* request, int status) {
   Impl& self = *static_cast<Impl*>(request->data);
-  self.caughtUp_ = status == 0;
+  self.barrierPending_ = false;
+  self.caughtUp_ = status == 0 && self.barrierRequested_;
   if (self.caughtUp_ && self.changed_)
     boost::asio::post(self.io_, self.lifetime_.guard([&self] { self.changed_(); }));
 }
@@ -352,6 +382,8 @@
   impl_->onLeadershipChange(std::move(changed));
 }
 void RaftLog::propose(std::string entry, Done done) { impl_->propose(entry, std::move(done)); }
+std::optional<std::string> RaftLog::pauseReason() const { return impl_->pauseReason(); }
+void RaftLog::onPauseChange(std::function<void()> changed) { impl_->onPauseChange(std::move(changed)); }
 void RaftLog::stop(std::function<void()> done) { impl_->stop(std::move(done)); }
 
 }  // namespace cairnjunction::consensus
--- a/src/consensus/raft_log.hpp
+++ b/src/consensus/raft_log.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "consensus/replicated_log.hpp"
@@ -24,7 +25,7 @@
   std::chrono::milliseconds heartbeatInterval{100};  // of the leader
   unsigned snapshotThreshold = 1024;                 // entries between two snapshots
   unsigned snapshotTrailing = 256;     // entries kept behind a snapshot, for a follower that is a little late
-  std::size_t segmentBytes = 1 << 20;  // of one file of the log
+  std::size_t segmentBytes = 1 << 20;  // of the write-ahead log, before it is written to the database
 };
 
 class RaftLog final : public ReplicatedLog {
@@ -41,6 +42,8 @@
   bool isLeader() const override;
   int leader() const override;
   void onLeadershipChange(std::function<void()> changed) override;
+  std::optional<std::string> pauseReason() const override;
+  void onPauseChange(std::function<void()> changed) override;
   void stop(std::function<void()> done) override;
 
  private:
--- a/src/consensus/raft_storage.cpp
+++ b/src/consensus/raft_storage.cpp
@@ -1,35 +1,20 @@
 #include "consensus/raft_storage.hpp"
 
 #include <algorithm>
-#include <memory>
+#include <cstring>
 #include <utility>
 
-namespace cairnjunction::consensus {
-
-// One that is under way; the library holds `own` until its callback.
-struct RaftStorage::Append {
-  raft_io_append own{};
-  RaftStorage* storage = nullptr;
-  raft_io_append* request = nullptr;  // the consensus' own
-  raft_io_append_cb done = nullptr;
-  bool endsTruncation = false;  // the first one behind a truncation
-  int failure = 0;              // the library's code; 0: it has not failed
-};
-
-struct RaftStorage::Snapshot {
-  raft_io_snapshot_put own{};
-  RaftStorage* storage = nullptr;
-  raft_io_snapshot_put* request = nullptr;
-  raft_io_snapshot_put_cb done = nullptr;
-  bool isInstall = false;
-};
-
-RaftStorage::RaftStorage() : raft_io{} {}
-
-RaftStorage::~RaftStorage() = default;
+#include "consensus/former_log_files.hpp"
+#include "consensus/raft_records.hpp"
 
+namespace cairnjunction::consensus {
 namespace {
 
+// With more waiting to be written the voter is paused.
+constexpr std::size_t kPendingBytesMost = 8 << 20;
+// With more waiting for a vote to be written as well.
+constexpr std::size_t kHeldMessagesMost = 64;
+
 // What the receiver of a message owns of it.
 void freeMessage(raft_message& message) {
   if (message.type == RAFT_IO_APPEND_ENTRIES && message.append_entries.n_entries > 0) {
@@ -41,96 +26,230 @@
   }
 }
 
+int fail(raft_io* storage, const std::string& text) {
+  const std::size_t length = std::min(text.size(), sizeof storage->errmsg - 1);
+  std::memcpy(storage->errmsg, text.data(), length);
+  storage->errmsg[length] = '\0';
+  return RAFT_IOERR;
+}
+
 }  // namespace
 
+RaftStorage::RaftStorage() : raft_io{} {}
+
+RaftStorage::~RaftStorage() = default;
+
+// --- Opening and closing ----------------------------------------------------------------------------------
+
 int RaftStorage::open(uv_loop_t* loop, const std::string& folder, RaftTransport& transport) {
   const int code = raft_uv_init(this, loop, folder.c_str(), &transport);
   if (code != 0) return code;
-  libraryAppend_ = std::exchange(append, &RaftStorage::appendEntries);
-  libraryTruncate_ = std::exchange(truncate, &RaftStorage::truncateEntries);
-  librarySnapshotPut_ = std::exchange(snapshot_put, &RaftStorage::putSnapshot);
+  loop_ = loop;
+  folder_ = folder;
+  replaceFunctions();
+  return 0;
+}
+
+void RaftStorage::replaceFunctions() {
+  libraryClose_ = std::exchange(close, &RaftStorage::closeStorage);
+  libraryLoad_ = std::exchange(load, &RaftStorage::loadLog);
   libraryStart_ = std::exchange(start, &RaftStorage::startReceiving);
   librarySend_ = std::exchange(send, &RaftStorage::sendMessage);
-  return 0;
+  bootstrap = &RaftStorage::bootstrapLog;
+  recover = &RaftStorage::recoverLog;
+  set_term = &RaftStorage::setTerm;
+  set_vote = &RaftStorage::setVote;
+  append = &RaftStorage::appendEntries;
+  truncate = &RaftStorage::truncateEntries;
+  snapshot_put = &RaftStorage::putSnapshot;
+  snapshot_get = &RaftStorage::getSnapshot;
+}
+
+void RaftStorage::openLog(const raft& voter, std::size_t checkpointBytes) {
+  voter_ = &voter;
+  store_.emplace(folder_, checkpointBytes);
+  loaded_ = store_->load();
+  if (loaded_.isNew() && hasFormerLogFiles(folder_)) {
+    loaded_ = readFormerLog();
+    if (const auto error = importFormerLog(*store_, loaded_)) throw LogError(error->text);
+  }
+  // Also where an earlier start ended between the two.
+  removeFormerLogFiles(folder_);
+  queue_.emplace(loop_, *store_);
+}
+
+StoredLog RaftStorage::readFormerLog() {
+  StoredLog former;
+  raft_snapshot* snapshot = nullptr;
+  raft_index first = 0;
+  raft_entry* entries = nullptr;
+  std::size_t count = 0;
+  raft_term term = 0;
+  raft_id votedFor = 0;
+  const int code = libraryLoad_(this, &term, &votedFor, &snapshot, &first, &entries, &count);
+  if (code != 0) throw LogError(folder_ + ": " + raft_strerror(code) + ": " + errmsg);
+  const RaftSnapshotPtr owned(snapshot);
+  former.vote = {term, votedFor};
+  if (snapshot) former.snapshot = toStoredSnapshot(*snapshot);
+  former.entries = toStoredEntries(first, entries, count);
+  freeRaftEntries(entries, count);
+  if (former.snapshot && !former.entries.empty() && former.entries.back().index < former.snapshot->index)
+    former.entries.clear();
+  return former;
 }
 
 void RaftStorage::release() {
+  queue_.reset();
+  store_.reset();
   if (impl) raft_uv_close(this);
 }
 
-// --- Entries ----------------------------------------------------------------------------------------------
+void RaftStorage::closeStorage(raft_io* storage, raft_io_close_cb done) {
+  RaftStorage& self = of(storage);
+  self.closed_ = done;
+  const auto closeLinks = [&self] {
+    self.failHeld();
+    self.libraryClose_(&self, self.closed_);
+  };
+  if (self.queue_) self.queue_->close(closeLinks);
+  else closeLinks();
+}
+
+// --- Start ------------------------------------------------------------------------------------------------
+
+int RaftStorage::loadLog(raft_io* storage, raft_term* term, raft_id* votedFor, raft_snapshot** snapshot,
+                         raft_index* startIndex, raft_entry** entries, std::size_t* count) {
+  RaftStorage& self = of(storage);
+  const StoredLog loaded = std::exchange(self.loaded_, {});
+  try {
+    RaftSnapshotPtr restored;
+    if (loaded.snapshot) restored = toRaftSnapshot(*loaded.snapshot);
+    *entries = toRaftEntries(loaded.entries);
+    *snapshot = restored.release();
+  } catch (const std::exception& error) {
+    return fail(storage, self.folder_ + ": " + error.what());
+  }
+  self.vote_ = loaded.vote;
+  const raft_index covered = loaded.snapshot ? loaded.snapshot->index : 0;
+  *term = loaded.vote.term;
+  *votedFor = loaded.vote.candidate;
+  *count = loaded.entries.size();
+  *startIndex = loaded.entries.empty() ? covered + 1 : loaded.entries.front().index;
+  self.lastIndex_ = *startIndex + *count - 1;
+  return 0;
+}
+
+// The first entry of a new log is its configuration.
+int RaftStorage::bootstrapLog(raft_io* storage, const raft_configuration* configuration) {
+  RaftStorage& self = of(storage);
+  if (!self.loaded_.isNew()) return RAFT_CANTBOOTSTRAP;
+  raft_entry first{1, RAFT_CHANGE, {}, nullptr};
+  if (const int code = raft_configuration_encode(configuration, &first.buf); code != 0) return code;
+  const StoredLog begun{{1, 0}, std::nullopt, toStoredEntries(1, &first, 1)};
+  raft_free(first.buf.base);
+  const LogWrite vote = SaveVote{begun.vote};
+  const LogWrite entries = AppendEntries{begun.entries};
+  if (const auto error = self.store_->write({&vote, &entries})) return fail(storage, error->text);
+  self.loaded_ = begun;
+  return 0;
+}
+
+// Only by hand, with a program of the library's own.
+int RaftStorage::recoverLog(raft_io* /*storage*/, const raft_configuration* /*configuration*/) {
+  return RAFT_INVALID;
+}
+
+// --- Writes -----------------------------------------------------------------------------------------------
+
+int RaftStorage::setTerm(raft_io* storage, raft_term term) {
+  RaftStorage& self = of(storage);
+  self.vote_ = {term, 0};
+  self.saveVote();
+  return 0;
+}
+
+int RaftStorage::setVote(raft_io* storage, raft_id candidate) {
+  RaftStorage& self = of(storage);
+  self.vote_.candidate = candidate;
+  self.saveVote();
+  return 0;
+}
+
+// The library takes term and vote for written once it has set them: nobody hears of them before they are.
+void RaftStorage::saveVote() {
+  ++votesPending_;
+  queue_->push(SaveVote{vote_}, [this](bool written) {
+    if (--votesPending_ == 0 && written) sendHeld();
+  });
+}
 
 int RaftStorage::appendEntries(raft_io* storage, raft_io_append* request, const raft_entry* entries,
                                unsigned count, raft_io_append_cb done) {
   RaftStorage& self = of(storage);
-  Append& begun = self.appends_.emplace_back();
-  begun.storage = &self;
-  begun.request = request;
-  begun.done = done;
-  begun.endsTruncation = self.truncating_;
-  begun.own.data = &begun;
-  const int code = self.libraryAppend_(storage, &begun.own, entries, count, &RaftStorage::onAppended);
-  if (code != 0) self.appends_.pop_back();
-  return code;
-}
-
-void RaftStorage::onAppended(raft_io_append* request, int status) {
-  Append& ended = *static_cast<Append*>(request->data);
-  RaftStorage& self = *ended.storage;
-  if (ended.endsTruncation) self.truncating_ = false;
-  if (status != 0) {
-    ended.failure = status;
-    return self.deliverFailures();
-  }
-  raft_io_append* const own = ended.request;
-  const raft_io_append_cb done = ended.done;
-  self.appends_.remove_if([&](const Append& each) { return &each == &ended; });
-  done(own, 0);
-  self.deliverFailures();
-}
-
-// Newest first: handed the oldest one first, the library would remove the entries of the later ones with it,
-// and once more, from below the beginning of its log, for each of them.
-void RaftStorage::deliverFailures() {
-  while (!appends_.empty() && appends_.back().failure != 0) {
-    const Append failed = appends_.back();
-    appends_.pop_back();
-    failed.done(failed.request, failed.failure);
-  }
+  AppendEntries write{toStoredEntries(self.lastIndex_ + 1, entries, count)};
+  self.lastIndex_ += count;
+  self.queue_->push(std::move(write),
+                    [request, done](bool written) { done(request, written ? 0 : RAFT_CANCELED); });
+  return 0;
 }
 
 int RaftStorage::truncateEntries(raft_io* storage, raft_index first) {
   RaftStorage& self = of(storage);
-  const int code = self.libraryTruncate_(storage, first);
-  if (code == 0) self.truncating_ = true;
-  return code;
+  self.lastIndex_ = first - 1;
+  self.queue_->push(RemoveEntries{first}, [](bool /*written*/) {});
+  return 0;
 }
 
-// --- Snapshots --------------------------------------------------------------------------------------------
-
+// An own snapshot keeps some entries behind it; one of the leader's goes in place of all of them.
 int RaftStorage::putSnapshot(raft_io* storage, unsigned trailing, raft_io_snapshot_put* request,
                              const raft_snapshot* snapshot, raft_io_snapshot_put_cb done) {
   RaftStorage& self = of(storage);
-  auto put = std::make_unique<Snapshot>();
-  put->storage = &self;
-  put->request = request;
-  put->done = done;
-  put->isInstall = trailing == 0;  // behind an own snapshot entries are kept
-  put->own.data = put.get();
-  const int code =
-      self.librarySnapshotPut_(storage, trailing, &put->own, snapshot, &RaftStorage::onSnapshotPut);
-  if (code != 0) return code;
-  ++self.snapshots_;
-  if (put->isInstall) ++self.installs_;
-  (void)put.release();  // the library's until onSnapshotPut
+  const bool isInstall = trailing == 0;
+  SaveSnapshot write{toStoredSnapshot(*snapshot), SaveSnapshot::kKeepNone};
+  if (!isInstall) write.firstKept = snapshot->index > trailing ? snapshot->index - trailing + 1 : 1;
+  if (isInstall) {
+    self.lastIndex_ = snapshot->index;
+    ++self.installs_;
+  }
+  self.queue_->push(std::move(write), [&self, isInstall, request, done](bool written) {
+    if (isInstall) --self.installs_;
+    done(request, written ? 0 : RAFT_CANCELED);
+  });
   return 0;
 }
 
-void RaftStorage::onSnapshotPut(raft_io_snapshot_put* request, int status) {
-  const std::unique_ptr<Snapshot> put(static_cast<Snapshot*>(request->data));
-  --put->storage->snapshots_;
-  if (put->isInstall) --put->storage->installs_;
-  put->done(put->request, status);
+int RaftStorage::getSnapshot(raft_io* storage, raft_io_snapshot_get* request, raft_io_snapshot_get_cb done) {
+  RaftStorage& self = of(storage);
+  self.queue_->readSnapshot([request, done](WriteQueue::SnapshotRead read) {
+    if (!read.snapshot) return done(request, nullptr, read.error.empty() ? RAFT_NOTFOUND : RAFT_IOERR);
+    RaftSnapshotPtr snapshot;
+    try {
+      snapshot = toRaftSnapshot(*read.snapshot);
+    } catch (const std::exception&) {
+      return done(request, nullptr, RAFT_CORRUPT);
+    }
+    done(request, snapshot.release(), 0);
+  });
+  return 0;
+}
+
+// --- Pausing ----------------------------------------------------------------------------------------------
+
+bool RaftStorage::isPaused() const {
+  return queue_ && (queue_->failure() || queue_->pendingBytes() > kPendingBytesMost ||
+                    held_.size() > kHeldMessagesMost);
+}
+
+std::optional<std::string> RaftStorage::pauseReason() const {
+  if (!isPaused()) return std::nullopt;
+  if (queue_->failure()) return queue_->failure()->text;
+  return std::to_string(queue_->pendingBytes()) + " bytes and " + std::to_string(held_.size()) +
+         " messages wait for the disk";
+}
+
+std::optional<std::string> RaftStorage::damage() const {
+  if (!queue_ || !queue_->failure() || !queue_->failure()->isDamaged) return std::nullopt;
+  return queue_->failure()->text;
 }
 
 // --- Messages ---------------------------------------------------------------------------------------------
@@ -143,21 +262,45 @@
   return self.libraryStart_(storage, tickMs, &RaftStorage::onTick, &RaftStorage::onMessage);
 }
 
+// A leader that is paused goes on counting the time since it heard of a majority, until it steps down.
 void RaftStorage::onTick(raft_io* storage) {
-  const RaftStorage& self = of(storage);
+  RaftStorage& self = of(storage);
+  self.queue_->retryIfDue();
+  if (self.isPaused()) {
+    self.failHeld();
+    if (self.voter_->state != RAFT_LEADER) return;
+  }
   if (self.installs_ == 0) self.tick_(storage);
 }
 
 void RaftStorage::onMessage(raft_io* storage, raft_message* message) {
   const RaftStorage& self = of(storage);
-  if (self.droppingMessages_) return freeMessage(*message);
+  if (self.droppingMessages_ || self.isPaused()) return freeMessage(*message);
   self.receive_(storage, message);
 }
 
 int RaftStorage::sendMessage(raft_io* storage, raft_io_send* request, const raft_message* message,
                              raft_io_send_cb done) {
+  RaftStorage& self = of(storage);
   if (!message->server_address) return RAFT_NOCONNECTION;
-  return of(storage).librarySend_(storage, request, message, done);
+  if (self.votesPending_ == 0 && !self.isPaused()) return self.librarySend_(storage, request, message, done);
+  self.held_.push_back({*message, message->server_address, request, done});
+  return 0;
+}
+
+void RaftStorage::sendHeld() {
+  std::deque<HeldMessage> held = std::exchange(held_, {});
+  for (HeldMessage& each : held) {
+    each.message.server_address = each.address.c_str();
+    const int code = librarySend_(this, each.request, &each.message, each.done);
+    if (code != 0) each.done(each.request, code);
+  }
+}
+
+// For the library as if the link were down.
+void RaftStorage::failHeld() {
+  std::deque<HeldMessage> held = std::exchange(held_, {});
+  for (const HeldMessage& each : held) each.done(each.request, RAFT_NOCONNECTION);
 }
 
 }  // namespace cairnjunction::consensus
--- a/src/consensus/replicated_log.hpp
+++ b/src/consensus/replicated_log.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -51,6 +52,11 @@
   virtual int leader() const = 0;
   // `changed` is called each time that isLeader() changes. Set before the event loop's first turn.
   virtual void onLeadershipChange(std::function<void()> changed) = 0;
+  // Why this voter is paused, with the file's name: its disk fails, or is far behind. It does not lead, and
+  // acknowledges nothing, until it has written what waits. Nothing: it is not paused.
+  virtual std::optional<std::string> pauseReason() const = 0;
+  // `changed` is called each time that a pause begins or ends. Set before the event loop's first turn.
+  virtual void onPauseChange(std::function<void()> changed) = 0;
   // Hands leadership to another voter if it can, then ends, after which `done` is called once. A second call
   // does nothing.
   virtual void stop(std::function<void()> done) = 0;
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -43,6 +43,7 @@
 void Coordinator::serve(consensus::ReplicatedLog& log) {
   log_.attach(log);
   log.onLeadershipChange(lifetime_.guard([this] { onLeadershipChange(); }));
+  log.onPauseChange(lifetime_.guard([this] { onPauseChange(); }));
 }
 
 void Coordinator::stop() {
@@ -54,6 +55,12 @@
   connections_.finishAll(NotLeader{}, LinkEnd::stopped);
 }
 
+void Coordinator::onPauseChange() {
+  const std::optional<std::string> reason = log_.pauseReason();
+  if (!reason) return events_.write(Event::votingResumed, {{"pauses", pauses_}});
+  events_.write(Event::votingPaused, {{"reason", *reason}, {"pauses", ++pauses_}});
+}
+
 void Coordinator::onLeadershipChange() {
   if (stopping_ || isLeader() == leading_) return;
   leading_ = isLeader();
@@ -241,7 +248,8 @@
 // --- Operators
 
 json Coordinator::status() const {
-  return statusJson({settings_.fleet, number_, forwardedCommands_, rejectedPeers_}, log_, connections_);
+  return statusJson({settings_.fleet, number_, forwardedCommands_, rejectedPeers_, pauses_}, log_,
+                    connections_);
 }
 
 json Coordinator::leases() const { return leasesJson(log_); }
--- a/src/fleet/coordinator.hpp
+++ b/src/fleet/coordinator.hpp
@@ -65,6 +65,7 @@
   void on(const PeerConnectionPtr& connection, const Leave& leave);
   void welcome(const PeerConnectionPtr& connection);
   void onLeadershipChange();
+  void onPauseChange();
 
   boost::asio::io_context& io_;
   const Settings settings_;
@@ -82,6 +83,7 @@
   bool stopping_ = false;      // stop() was called
   std::uint64_t forwardedCommands_ = 0;
   std::uint64_t rejectedPeers_ = 0;
+  std::uint64_t pauses_ = 0;
   CallbackGuard lifetime_;
 };
 
--- a/src/fleet/coordinator_status.hpp
+++ b/src/fleet/coordinator_status.hpp
@@ -16,6 +16,7 @@
   int number = 0;                       // of this coordinator
   std::uint64_t forwardedCommands = 0;  // since its start
   std::uint64_t rejectedPeers = 0;      // since its start
+  std::uint64_t pauses = 0;             // of its part in votes, since its start
 };
 
 nlohmann::json statusJson(const CoordinatorStatus& status, const LeaseLog& log,
--- a/src/fleet/event_names.hpp
+++ b/src/fleet/event_names.hpp
@@ -32,6 +32,8 @@
   memberLinkEnded,
   leaseGranted,
   leaseReleased,
+  votingPaused,       // its disk fails, or is far behind
+  votingResumed,
   joinRejected,       // a member or coordinator that does not belong here
   voterAccepted,      // the answer to another coordinator's handshake: it may vote
   voterRejected,      // it must not
@@ -63,6 +65,8 @@
     case Event::memberLinkEnded: return "member-link-ended";
     case Event::leaseGranted: return "lease-granted";
     case Event::leaseReleased: return "lease-released";
+    case Event::votingPaused: return "voting-paused";
+    case Event::votingResumed: return "voting-resumed";
     case Event::joinRejected: return "join-rejected";
     case Event::voterAccepted: return "voter-accepted";
     case Event::voterRejected: return "voter-rejected";
--- a/src/fleet/lease_log.hpp
+++ b/src/fleet/lease_log.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <functional>
+#include <optional>
+#include <string>
 
 #include "common/callback_guard.hpp"
 #include "consensus/replicated_log.hpp"
@@ -22,6 +24,8 @@
   bool isAttached() const { return log_ != nullptr; }
 
   bool isLeader() const { return log_ != nullptr && log_->isLeader(); }
+  // Why this coordinator takes no part in votes at present; nothing: it does, or has no log.
+  std::optional<std::string> pauseReason() const { return log_ ? log_->pauseReason() : std::nullopt; }
   // Number of the coordinator that leads; 0: not known.
   int leader() const { return log_ ? log_->leader() : 0; }
 
--- a/tests/fleet/coordinator_parts.hpp
+++ b/tests/fleet/coordinator_parts.hpp
@@ -33,12 +33,18 @@
   bool isLeader() const override { return leads; }
   int leader() const override { return leads ? 1 : 2; }
   void onLeadershipChange(std::function<void()> changed) override { changed_ = std::move(changed); }
+  std::optional<std::string> pauseReason() const override { return pause; }
+  void onPauseChange(std::function<void()> changed) override { pauseChanged_ = std::move(changed); }
   void stop(std::function<void()> done) override { done(); }
 
   void setLeads(bool now) {
     leads = now;
     if (changed_) changed_();
   }
+  void setPause(std::optional<std::string> reason) {
+    pause = std::move(reason);
+    if (pauseChanged_) pauseChanged_();
+  }
   // Commits what waits.
   void commitHeld() {
     for (const auto& entry : std::exchange(held_, {})) entry();
@@ -47,6 +53,7 @@
   bool leads = true;
   bool holds = false;  // entries wait for commitHeld()
   int proposals = 0;
+  std::optional<std::string> pause;
 
  private:
   void commit(const std::string& entry, const Done& done) {
@@ -57,6 +64,7 @@
 
   consensus::StateMachine& machine_;
   std::function<void()> changed_;
+  std::function<void()> pauseChanged_;
   std::vector<std::function<void()>> held_;
 };
 
--- a/tests/fleet/coordinator_status_test.cpp
+++ b/tests/fleet/coordinator_status_test.cpp
@@ -33,6 +33,18 @@
   EXPECT_EQ(leases[0], (json{{"duty", "list"}, {"shard", 0}, {"owner", "a"}, {"epoch", 1}}));
 }
 
+// Guards against a coordinator with a full disk that looks well to operators.
+TEST_F(CoordinatorStatusTest, APauseIsShownWithItsReasonAndCounted) {
+  replicated.setPause("raft.db: database or disk is full");
+  const json paused = fleet::statusJson({"yard", 1, 7, 2, 1}, log, connections);
+  EXPECT_EQ(paused["paused"], "raft.db: database or disk is full");
+  EXPECT_EQ(paused["pauses"], 1);
+  replicated.setPause(std::nullopt);
+  const json resumed = fleet::statusJson({"yard", 1, 7, 2, 1}, log, connections);
+  EXPECT_FALSE(resumed.contains("paused"));
+  EXPECT_EQ(resumed["pauses"], 1);
+}
+
 TEST_F(CoordinatorStatusTest, ALeaseThatNobodyHoldsHasItsReason) {
   Peer& first = connect("a");
   const lease::Member member = first.connection->member;
