A voter that is far behind takes no entries that it has applied already

Operators saw: a coordinator that came back ended: "the voter can't go on: No log entries found at index 1", and a double free.

Change: AppendEntriesGuard takes them off the message before the library sees it; the last applied one is the predecessor that is compared. It holds because the sender leads this term or a later one, so it has what is applied here. The double free was in the close of the library's own disk, which is not used any more.

--- a/src/consensus/raft_storage.cpp
+++ b/src/consensus/raft_storage.cpp
@@ -67,6 +67,7 @@
 
 void RaftStorage::openLog(const raft& voter, std::size_t checkpointBytes) {
   voter_ = &voter;
+  guard_.emplace(voter);
   store_.emplace(folder_, checkpointBytes);
   loaded_ = store_->load();
   if (loaded_.isNew() && hasFormerLogFiles(folder_)) {
@@ -276,6 +277,7 @@
 void RaftStorage::onMessage(raft_io* storage, raft_message* message) {
   const RaftStorage& self = of(storage);
   if (self.droppingMessages_ || self.isPaused()) return freeMessage(*message);
+  if (message->type == RAFT_IO_APPEND_ENTRIES) self.guard_->beginReceiving(message->append_entries);
   self.receive_(storage, message);
 }
 
--- a/src/consensus/raft_storage.hpp
+++ b/src/consensus/raft_storage.hpp
@@ -9,7 +9,8 @@
 //
 // A follower that has installed a snapshot sends the result to its leader, also where it has forgotten that
 // one's address, or has become a candidate, which keeps other data in its place. So no election begins while
-// a snapshot is installed, and a message without a receiver is not sent.
+// a snapshot is installed, and a message without a receiver is not sent. For the messages that append entries
+// see AppendEntriesGuard.
 #pragma once
 
 #include <cstddef>
@@ -17,6 +18,7 @@
 #include <optional>
 #include <string>
 
+#include "consensus/append_entries_guard.hpp"
 #include "consensus/log_store.hpp"
 #include "consensus/raft_library.hpp"
 #include "consensus/raft_transport.hpp"
@@ -94,6 +96,7 @@
   raft_io_recv_cb receive_ = nullptr;
 
   const raft* voter_ = nullptr;
+  std::optional<AppendEntriesGuard> guard_;
   uv_loop_t* loop_ = nullptr;
   std::string folder_;
   std::optional<LogStore> store_;
