A leader counts an entry at a follower only once it was compared there

Callers could see: a lease that was granted by a committed entry is gone at the next leader. Seen here as "the voter can't go on".

Cause: libraft answers each message that it accepts with the last entry that it has stored, also entries of an earlier leader that the message did not compare. The leader takes its own entries of these numbers for written there, and commits them.

Change: AppendEntriesGuard ends the answer at the last entry that was compared, predecessor and entries of the message, as in the paper. An answer behind a write is right as it is: behind entries that are appended there are no others.

--- a/src/consensus/append_entries_guard.cpp
+++ b/src/consensus/append_entries_guard.cpp
@@ -17,8 +17,9 @@
 
 }  // namespace
 
-void AppendEntriesGuard::beginReceiving(raft_append_entries& message) const {
+void AppendEntriesGuard::beginReceiving(raft_append_entries& message) {
   if (message.term >= voter_.current_term) removeAppliedEntries(message);
+  comparedIndex_ = message.prev_log_index + message.n_entries;
 }
 
 // The sender leads this term or a later one, so it has the entries that are applied here.
@@ -40,4 +41,9 @@
   }
 }
 
+void AppendEntriesGuard::limitResult(raft_append_entries_result& result) const {
+  if (comparedIndex_ && result.rejected == 0)
+    result.last_log_index = std::min(result.last_log_index, *comparedIndex_);
+}
+
 }  // namespace cairnjunction::consensus
--- a/src/consensus/raft_storage.cpp
+++ b/src/consensus/raft_storage.cpp
@@ -275,18 +275,22 @@
 }
 
 void RaftStorage::onMessage(raft_io* storage, raft_message* message) {
-  const RaftStorage& self = of(storage);
+  RaftStorage& self = of(storage);
   if (self.droppingMessages_ || self.isPaused()) return freeMessage(*message);
-  if (message->type == RAFT_IO_APPEND_ENTRIES) self.guard_->beginReceiving(message->append_entries);
+  if (message->type != RAFT_IO_APPEND_ENTRIES) return self.receive_(storage, message);
+  self.guard_->beginReceiving(message->append_entries);
   self.receive_(storage, message);
+  self.guard_->endReceiving();
 }
 
 int RaftStorage::sendMessage(raft_io* storage, raft_io_send* request, const raft_message* message,
                              raft_io_send_cb done) {
   RaftStorage& self = of(storage);
   if (!message->server_address) return RAFT_NOCONNECTION;
-  if (self.votesPending_ == 0 && !self.isPaused()) return self.librarySend_(storage, request, message, done);
-  self.held_.push_back({*message, message->server_address, request, done});
+  raft_message sent = *message;
+  if (sent.type == RAFT_IO_APPEND_ENTRIES_RESULT) self.guard_->limitResult(sent.append_entries_result);
+  if (self.votesPending_ == 0 && !self.isPaused()) return self.librarySend_(storage, request, &sent, done);
+  self.held_.push_back({sent, message->server_address, request, done});
   return 0;
 }
 
--- a/tests/consensus/append_entries_guard_test.cpp
+++ b/tests/consensus/append_entries_guard_test.cpp
@@ -48,6 +48,13 @@
     raft_free(message_.entries);
     message_.entries = nullptr;
   }
+  raft_index limited(raft_index last, raft_index rejected = 0) const {
+    raft_append_entries_result result{};
+    result.last_log_index = last;
+    result.rejected = rejected;
+    guard_.limitResult(result);
+    return result.last_log_index;
+  }
   AppendEntriesGuard guard_{voter_};
 };
 
@@ -100,5 +107,21 @@
   EXPECT_EQ(message_.n_entries, 2U);
 }
 
+// Guards against an entry that is committed with one voter alone having it: a heartbeat was answered with the
+// last of the entries of an earlier leader.
+TEST_F(AppendEntriesGuardTest, AnAnswerEndsWithTheLastEntryThatWasCompared) {
+  receive(5, 10, 0);
+  guard_.beginReceiving(message_);
+  EXPECT_EQ(limited(12), 10U);
+  guard_.endReceiving();
+  receive(5, 10, 1);
+  guard_.beginReceiving(message_);
+  EXPECT_EQ(limited(12), 11U);
+  EXPECT_EQ(limited(9), 9U) << "not all of them are written yet";
+  EXPECT_EQ(limited(12, 11), 12U) << "a rejection tells where its log ends";
+  guard_.endReceiving();
+  EXPECT_EQ(limited(12), 12U) << "after a write";
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
