--- a/src/consensus/raft_log.cpp
+++ b/src/consensus/raft_log.cpp
@@ -20,6 +20,9 @@
 // Before the log is closed: so long writes that are under way have to end.
 constexpr std::chrono::milliseconds kWritesTimeout{2000};
 constexpr unsigned kConnectRetryMs = 200;
+// A leader sends nothing else to a voter that has not answered a snapshot, which may have been stopped over
+// it.
+constexpr unsigned kInstallSnapshotTimeoutMs = 2000;
 
 // One that is on its way; the library holds it until its callback.
 struct Proposal {
@@ -176,6 +179,7 @@
   closing_ = false;
   raft_set_election_timeout(&raft_, static_cast<unsigned>(options_.electionTimeout.count()));
   raft_set_heartbeat_timeout(&raft_, static_cast<unsigned>(options_.heartbeatInterval.count()));
+  raft_set_install_snapshot_timeout(&raft_, kInstallSnapshotTimeoutMs);
   raft_set_snapshot_threshold(&raft_, options_.snapshotThreshold);
   raft_set_snapshot_trailing(&raft_, options_.snapshotTrailing);
   raft_set_pre_vote(&raft_, true);
--- a/tests/consensus/voter_processes_test.cpp
+++ b/tests/consensus/voter_processes_test.cpp
@@ -35,6 +35,7 @@
 std::string voterProgram;  // its path; set once, by main
 
 constexpr int kVoters = 3;
+constexpr std::chrono::seconds kCatchUpMost{10};
 
 struct SnapshotSettings {
   unsigned threshold = 16;
@@ -231,6 +232,12 @@
       EXPECT_TRUE(until([&] { return !errors_.empty() || hasAllCommitted(number); })) << "voter " << number;
     EXPECT_EQ(errors_, std::vector<std::string>());
   }
+  // A leader may wait for an answer to a snapshot, but not for long.
+  void expectNothingLostSoon() {
+    const auto begin = steady_clock::now();
+    expectNothingLost();
+    EXPECT_LT(steady_clock::now() - begin, kCatchUpMost);
+  }
   // How often, and from which seed: for longer runs by hand.
   static int numberFrom(const char* variable, int usual) {
     const char* asked = std::getenv(variable);
@@ -256,6 +263,23 @@
   expectNothingLost();
 }
 
+// Guards against a folder that can't be read, and a voter that is left behind, where it was killed while a
+// snapshot was being installed.
+TEST_F(VoterProcessesTest, AVoterKilledWhileItIsSentASnapshotIsNotLeftBehind) {
+  random_.seed(static_cast<std::uint64_t>(numberFrom("VOTERS_SEED", 1)));
+  startAll();
+  awaitLeader();
+  for (int round = 0; round < 8; ++round) {
+    stop(1, SIGTERM);
+    commit(40);
+    start(1);
+    runFor(milliseconds(draw(0, 40)));
+    stop(1, SIGKILL);
+    start(1);
+    expectNothingLostSoon();
+  }
+}
+
 class BrokenDiskTest : public VoterProcessesTest, public ::testing::WithParamInterface<DiskFault> {
  protected:
   void breakDiskOf(int number) {
@@ -323,6 +347,33 @@
 INSTANTIATE_TEST_SUITE_P(EachFault, BrokenDiskTest,
                          ::testing::Values(DiskFault::noSpace, DiskFault::ioError, DiskFault::shortWrite));
 
+// Guards against a voter that crashes, or takes entries under wrong numbers, for what it is sent when it is
+// far behind, with the settings of the program: it comes back with an older copy of its folder, and with an
+// emptied one, from before and behind the leader's first snapshot.
+TEST_F(VoterProcessesTest, FarBehindWithTheProgramsSettingsAVoterCatchesUp) {
+  snapshots_ = {1024, 256};
+  startAll();
+  awaitLeader();
+  commit(40);
+  stop(1, SIGTERM);
+  files::copy(folderOf(1), folder_ + "older", files::copy_options::recursive);
+  for (const int count : {300, 500, 400, 900}) {
+    start(1);
+    expectNothingLostSoon();
+    stop(1, SIGTERM);
+    commit(count);
+    files::remove_all(folderOf(1));
+    files::copy(folder_ + "older", folderOf(1), files::copy_options::recursive);
+    start(1);
+    expectNothingLostSoon();
+    stop(1, SIGTERM);
+    files::remove_all(folderOf(1));
+    start(1);
+    expectNothingLostSoon();
+    stop(1, SIGTERM);
+  }
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
 
