JSON-RPC in a stop: a call behind the last reply is told at once

Callers saw: a call written behind the last reply of a stop waited up to 100 ms, beside load longer, for the reset that says so.

Cause: a connection that ends waits until its last reply is acknowledged, and that was looked at every 100 ms only. Change: the call brings the acknowledgement, so the connection is looked at when it comes.

The soak's clients record a reset that a write was told. Not reproduced: calls that wait up to 1.2 s on a connection with calls open (docs/incidents).

--- a/src/jsonrpc/server_connection.cpp
+++ b/src/jsonrpc/server_connection.cpp
@@ -153,8 +153,8 @@
       if (!isSilent()) return moveTo(Queue::idle);  // bytes wait that have not been read yet
       return beginEnd();
     case Queue::lingering:
-      if (isAcknowledged() || Clock::now() - queuedSince_ > kLinger) dropByReset();
-      return;
+      if (Clock::now() - queuedSince_ > kLinger) return dropByReset();
+      return endIfAcknowledged();
   }
 }
 
@@ -200,7 +200,8 @@
 }
 
 void Server::Connection::onReadable() {
-  if (closing_ || lingering_) return;
+  if (lingering_) return endIfAcknowledged();
+  if (closing_) return;
   if (isAtLimit()) pause();
   if (paused_ && (received_.size() >= kAheadMost || 2 * server_->bytes_ > server_->limits_.bytes))
     return;  // resume() goes on
@@ -320,11 +321,16 @@
 
 // Ends the connection behind its last response. From now on nothing is read: what comes was not taken, and
 // the reset says so. It is sent once the client's system has the last response, which it might overtake
-// otherwise.
+// otherwise. A call that comes meanwhile brings the acknowledgement, and is told by the reset at once.
 void Server::Connection::beginEnd() {
   lingering_ = true;
   if (isAcknowledged()) return dropByReset();
   moveTo(Queue::lingering);
+  waitUntilReadable();
+}
+
+void Server::Connection::endIfAcknowledged() {
+  if (isAcknowledged()) dropByReset();
 }
 
 bool Server::Connection::isAcknowledged() {
--- a/src/jsonrpc/server_connection.hpp
+++ b/src/jsonrpc/server_connection.hpp
@@ -74,6 +74,7 @@
   void endIfDone();
   void beginEnd();
   bool isAcknowledged();
+  void endIfAcknowledged();
 
   const ConnectionId id_;
   Server* server_;
--- a/tests/jsonrpc/server_test.cpp
+++ b/tests/jsonrpc/server_test.cpp
@@ -2,6 +2,9 @@
 // and a client that wrote something which was not read sees a reset, never an ordinary end.
 #include "jsonrpc/server.hpp"
 
+#include <netinet/tcp.h>
+
+#include <chrono>
 #include <optional>
 
 #include "net_peers.hpp"
@@ -27,6 +30,11 @@
     asio::write(socket_, asio::buffer(bytes), error);
     if (error == asio::error::connection_reset) end = error;  // told once, here or by the next read
   }
+  // They come with the next bytes that are written, or some 40 ms later.
+  void holdAcknowledgements() {
+    using QuickAcknowledgement = asio::detail::socket_option::boolean<IPPROTO_TCP, TCP_QUICKACK>;
+    socket_.set_option(QuickAcknowledgement(false));
+  }
   // Reads what is there. True once the connection has ended.
   bool hasEnded() {
     std::array<char, 4096> chunk;
@@ -152,6 +160,32 @@
   EXPECT_EQ(frames.size(), 1u);
 }
 
+// Guards against a call of a stop that waits, unread, for the next look at connections that end: its client,
+// which holds acknowledgements back, is told by the reset at once.
+TEST_F(JsonRpcServerTest, ACallBehindTheLastReplyOfAStopIsToldAtOnce) {
+  constexpr int rounds = 30;
+  constexpr std::chrono::milliseconds toldMost{20};  // on average
+  onFrame = [this](ConnectionId id) { server->holds(id, 1); };
+  std::chrono::steady_clock::duration waited{};
+  for (int round = 0; round < rounds; ++round) {
+    frames.clear();
+    start();
+    RawClient client = connect();
+    client.write(kCall + "\n");
+    ASSERT_TRUE(until([&] { return frames.size() == 1; }));
+    server->stopAccepting();
+    client.holdAcknowledgements();
+    answer(frames[0].connection);
+    ASSERT_TRUE(until([&] { return client.hasEnded() || !client.received.empty(); }));
+    const auto written = std::chrono::steady_clock::now();
+    client.write(kCall + "\n");
+    expectReset(client);
+    waited += std::chrono::steady_clock::now() - written;
+    EXPECT_EQ(frames.size(), 1U);
+  }
+  EXPECT_LT(waited / rounds, toldMost);
+}
+
 // Guards against a stop that lasts to the kill: half a text is not waited for, and its client is reset.
 TEST_F(JsonRpcServerTest, HalfATextIsResetWhenReadingStops) {
   onFrame = [this](ConnectionId id) { server->holds(id, 1); };
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -112,7 +112,7 @@
 }
 
 void Client::onEnd(ConnectionEnd end) {
-  record_->end = end;
+  record_->end = record_->resetOnWrite ? ConnectionEnd::reset : end;
   record_->ended = Clock::now();
   record_ = nullptr;
   error_code ignored;
@@ -131,6 +131,7 @@
   error_code failed;
   asio::write(socket_, asio::buffer(bytes), failed);  // small ones: they never fill the socket's buffer
   if (!failed) record_->written += bytes.size();
+  if (failed == asio::error::connection_reset) record_->resetOnWrite = true;
   for (CallRecord& call : record_->calls)
     if (call.end == 0 && unsentHalf_.empty()) {
       call.end = failed ? UINT64_MAX : record_->written;  // one that could not be written was not taken
--- a/tests/soak/clients.hpp
+++ b/tests/soak/clients.hpp
@@ -53,6 +53,8 @@
   std::uint64_t written = 0;
   ConnectionEnd end = ConnectionEnd::open;
   Clock::time_point ended;
+  // The system tells of a reset once: where a write was told, the read behind it shows an ordinary end.
+  bool resetOnWrite = false;
   // HTTP: an answer said that it is the last one, so nothing behind it is taken (RFC 9112, 9.6).
   bool lastAnswered = false;
   std::vector<CallRecord> calls;
--- a/tests/soak/restart_run.cpp
+++ b/tests/soak/restart_run.cpp
@@ -33,6 +33,7 @@
 // The earliest kill of the protocol page: the longest deadline (stock-out's, under 3 s) and 0.7 s.
 constexpr milliseconds kKillAfter{2000 + 700};
 constexpr milliseconds kLateMost{500};           // past a call's deadline
+constexpr milliseconds kToldMost{100};           // from a call that is not read to the end that says so
 constexpr milliseconds kReconnectFor{300};       // new connections behind the signal
 constexpr milliseconds kDrainGrace{1000 + 300};  // and what is on its way
 constexpr int kWorkers = 3;
@@ -350,6 +351,7 @@
     if (connection.end == ConnectionEnd::open) return find("unread, and its connection open at the end");
     if (connection.end == ConnectionEnd::closed && connection.protocol == Protocol::jsonRpc)
       return find("unread, and the end of its connection says nothing");
+    if (connection.ended - call.written > kToldMost) find("unread, and told late");
     ++result.counted[connection.end == ConnectionEnd::reset ? "unread, reset" : "unread, closed"];
   }
 
