--- a/src/fleet/event_names.hpp
+++ b/src/fleet/event_names.hpp
@@ -32,7 +32,7 @@
   memberLinkEnded,
   leaseGranted,
   leaseReleased,
-  votingPaused,       // its disk fails, or is far behind
+  votingPaused,  // its disk fails, or is far behind
   votingResumed,
   joinRejected,       // a member or coordinator that does not belong here
   voterAccepted,      // the answer to another coordinator's handshake: it may vote
