A coordinator whose disk is full goes on when another one starts

Operators saw: with one coordinator's disk full, a restart of another one ended the first with exit 1. Two of three were away.

Cause: the handshake writes the other one's mark down, and the error of that write went through the event loop. Looked for as the same fault elsewhere. The mark stayed in memory as if it were kept.

Change: the handshake is rejected with the reason, and asked again; a mark that was not written is not taken for kept. A small file that the disk takes in part only names the system's reason.

--- a/src/consensus/durable_file.cpp
+++ b/src/consensus/durable_file.cpp
@@ -5,6 +5,7 @@
 
 #include <cerrno>
 #include <cstdio>
+#include <string_view>
 #include <system_error>
 
 namespace cairnjunction::consensus {
@@ -20,8 +21,14 @@
   FileDescriptor& operator=(const FileDescriptor&) = delete;
 
   bool isOpen() const { return fd_ >= 0; }
-  bool write(const std::string& text) const {
-    return ::write(fd_, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+  // A disk that is nearly full takes a part; why it takes no more is told by the next write.
+  bool write(std::string_view text) const {
+    while (!text.empty()) {
+      const ssize_t written = ::write(fd_, text.data(), text.size());
+      if (written <= 0) return false;
+      text.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
   }
   bool sync() const { return ::fsync(fd_) == 0; }
 
--- a/src/consensus/voter_identity.cpp
+++ b/src/consensus/voter_identity.cpp
@@ -97,8 +97,14 @@
   if (check.expected.incarnation != told.incarnation) check.result = VoterCheckResult::differentDisk;
   else if (told.startCount < check.expected.startCount) check.result = VoterCheckResult::olderDisk;
   if (!check.accepted() || (seen != peers_.end() && seen->second == told)) return check;
+  const std::map<int, VoterMark> before = peers_;
   peers_[number] = told;
-  write();
+  try {
+    write();
+  } catch (const LogError&) {
+    peers_ = before;
+    throw;
+  }
   return check;
 }
 
--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -147,7 +147,12 @@
   if (!isPeer)
     return reject(connection, "keeper " + std::to_string(request.number) + " of fleet '" + request.fleet +
                                   "', protocol " + std::to_string(request.protocol) + ": not one of ours");
-  const std::string rejection = consensus::rejectionText(identity_.checkPeer(request.number, request.mark));
+  std::string rejection;
+  try {
+    rejection = consensus::rejectionText(identity_.checkPeer(request.number, request.mark));
+  } catch (const consensus::LogError& error) {  // its mark can't be kept now: it asks again
+    return reject(connection, error.what());
+  }
   events_.write(rejection.empty() ? Event::voterAccepted : Event::voterRejected,
                 {{"number", request.number}, {"starts", request.mark.startCount}, {"why", rejection}});
   connection->link->send(VoterHandshakeResponse{number_, identity_.own(), rejection});
--- a/src/fleet/voter_handshake.cpp
+++ b/src/fleet/voter_handshake.cpp
@@ -52,7 +52,12 @@
 }
 
 void VoterHandshake::onResponse(int peer, const VoterHandshakeResponse& response) {
-  const std::string reason = rejectionOf(peer, response);
+  std::string reason;
+  try {
+    reason = rejectionOf(peer, response);
+  } catch (const consensus::LogError& error) {  // the peer's mark can't be kept now: it is asked again
+    return log_.write(Event::handshakeRejected, {{"by", number_}, {"why", error.what()}});
+  }
   if (reason.empty()) {
     agreed_.insert(peer);
     return reportIfMajority();
--- a/tests/consensus/voter_identity_test.cpp
+++ b/tests/consensus/voter_identity_test.cpp
@@ -47,6 +47,20 @@
   EXPECT_EQ(rejectionText(identity.checkPeer(2, {22, 5})), "") << "a rejected mark is not remembered";
 }
 
+// Guards against a voter that takes another one's mark for kept where its disk was full: it would not know an
+// older disk of that one later.
+TEST(VoterIdentity, AMarkThatCannotBeWrittenIsNotKept) {
+  const std::string folder = emptyFolder("voter-unwritten");
+  VoterIdentity identity(folder, "yard", 1);
+  const std::string next = folder + "/identity.toml.next";
+  std::filesystem::create_directory(next);  // in the way of the file that is written first
+  EXPECT_THROW(identity.checkPeer(2, {22, 3}), LogError);
+  EXPECT_THROW(identity.checkPeer(2, {22, 3}), LogError) << "it is not known meanwhile";
+  std::filesystem::remove(next);
+  EXPECT_EQ(identity.checkPeer(2, {22, 3}).result, VoterCheckResult::accepted);
+  EXPECT_EQ(identity.checkPeer(2, {22, 2}).result, VoterCheckResult::olderDisk);
+}
+
 // A voter starts again on its folder.
 // It is the same one, a start later, and remembers what it has seen of the others.
 TEST(VoterIdentity, IsKeptOverAStart) {
--- a/tests/fleet/coordinators_test.cpp
+++ b/tests/fleet/coordinators_test.cpp
@@ -1,8 +1,10 @@
 // Coordinators as processes, killed, stopped and given wrong disks; members of the test's own. The path of
 // the coordinator's program is the first argument.
 #include <fcntl.h>
+#include <sys/resource.h>
 
 #include <boost/asio/read.hpp>
+#include <csignal>
 
 #include "fleet/boot_clock.hpp"
 #include "fleet_processes.hpp"
@@ -166,6 +168,58 @@
   ASSERT_TRUE(until([&] { return !holder(list).empty(); }));
 }
 
+// Guards against a coordinator that ends because another one starts while its own disk is full: the mark of
+// the other can't be kept. That one is admitted by the third, and by this one once it can write again.
+TEST_F(FleetTest, ACoordinatorThatCannotWriteGoesOnWhenAnotherOneStarts) {
+  startCoordinators();
+  ASSERT_TRUE(until([&] { return leader() != 0; }));
+  const std::string next = folder(1) + "/identity.toml.next";
+  files::create_directory(next);  // in the way of the file that is written first
+  ASSERT_EQ(coordinators[2]->end(SIGTERM), 0);
+  startCoordinator(2);
+  const auto logHas = [&](int number, const std::string& what) {
+    return text(folder(number) + ".log").find(what) != std::string::npos;
+  };
+  ASSERT_TRUE(until([&] { return logHas(1, "identity.toml.next: not opened"); }));
+  ASSERT_TRUE(until([&] { return logHas(2, "\"starts\":2"); }));
+  files::remove(next);
+  ASSERT_TRUE(
+      until([&] { return text(folder(1) + "/identity.toml").find("starts = 2") != std::string::npos; }));
+  for (int number = 1; number <= 3; ++number)
+    EXPECT_EQ(coordinators[number]->end(SIGTERM), 0) << "coordinator " << number;
+}
+
+// Guards against a start on a full disk that harms the folder, or does not say why it ends.
+TEST_F(FleetTest, AStartOnAFullDiskNamesTheFileAndLeavesTheFolderAsItWas) {
+  startCoordinators();
+  join("a");
+  ASSERT_TRUE(until([&] { return seen["a"].leases.size() == 7; }));
+  ASSERT_EQ(coordinators[3]->end(SIGTERM), 0);
+  const std::string identity = text(folder(3) + "/identity.toml");
+  const std::string log = text(folder(3) + "/log/raft.db");
+  rlimit limit{};
+  ASSERT_EQ(::getrlimit(RLIMIT_FSIZE, &limit), 0);
+  const rlimit whole = limit;
+  std::signal(SIGXFSZ, SIG_IGN);
+  limit.rlim_cur = 200;                             // less than an identity has, and enough for the error
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &limit), 0);  // inherited by what is started
+  startCoordinator(3);
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &whole), 0);
+  EXPECT_EQ(coordinators[3]->exitCode(), 1);
+  EXPECT_EQ(text(folder(3) + "/identity.toml"), identity);
+  EXPECT_EQ(text(folder(3) + "/log/raft.db"), log);
+  EXPECT_NE(text(folder(3) + ".err").find(folder(3) + "/identity.toml.next: not written: File too large"),
+            std::string::npos)
+      << text(folder(3) + ".err");
+  files::remove(folder(3) + ".log");
+  startCoordinator(3);
+  ASSERT_TRUE(until([&] {
+    return text(folder(3) + ".log").find("\"" + std::string(nameOf(fleet::Event::votingStarted)) + "\"") !=
+           std::string::npos;
+  }));
+  EXPECT_EQ(coordinators[3]->end(SIGTERM), 0);
+}
+
 // Every file of the log is damaged in turn, at its beginning and in its middle. The coordinator names it or
 // comes to the state that the others have; it never makes one up.
 TEST_F(FleetTest, ADamagedLogIsNamedAndNotVotedWith) {
