--- a/tools/standins/ledger.hpp
+++ b/tools/standins/ledger.hpp
@@ -30,6 +30,11 @@
     const auto it = twice_.find(method);
     return it == twice_.end() ? 0 : it->second;
   }
+  // How often a piece of work was run.
+  std::uint64_t timesRun(const std::string& method, const std::string& ref) const {
+    const auto it = times_.find(method + '\0' + ref);
+    return it == times_.end() ? 0 : it->second;
+  }
 
  private:
   void line(const char* event, const std::string& method, const std::string& ref, unsigned short port) {
--- a/tools/standins/worker.cpp
+++ b/tools/standins/worker.cpp
@@ -58,6 +58,17 @@
     });
   }
 
+  // Sends an answer that nobody asked for, unless the connection has ended by then.
+  void answerUnasked(const std::string& answer, std::chrono::microseconds delay) {
+    const auto timer = std::make_shared<asio::steady_timer>(worker_->io_, delay);
+    timer->async_wait([self = shared_from_this(), timer, answer](error_code ec) {
+      if (ec || !self->open_) return;
+      if (++self->worker_->unsolicited_ == 1) self->worker_->firstUnsolicited_ = Clock::now();
+      self->out_ += answer;
+      self->flushSoon();
+    });
+  }
+
   void close() {
     if (!std::exchange(open_, false)) return;
     error_code ignored;
@@ -157,7 +168,8 @@
     busy_ = true;
     job.cancelled = std::make_shared<bool>(false);
     open_calls_["http"] = job.cancelled;
-    job.done = [self = shared_from_this(), body](End result) {
+    const std::string served = body.empty() && worker_->options_.answersWithId ? job.ref : body;
+    job.done = [self = shared_from_this(), served](End result) {
       self->busy_ = false;
       self->open_calls_.clear();
       const char* status = "200 OK";
@@ -165,16 +177,29 @@
       if (result == End::silent) return;
       if (result == End::failed) status = "500 Error";
       if (result == End::turnedAway) status = "503 Busy\r\nX-Not-Run: 1";
-      const std::string answer = result == End::served ? body : "";
-      self->out_ += std::string("HTTP/1.1 ") + status +
-                    "\r\nContent-Length: " + std::to_string(answer.size()) + "\r\n\r\n" + answer;
+      const std::string content = result == End::served ? served : "";
+      const std::string answer = std::string("HTTP/1.1 ") + status +
+                                 "\r\nContent-Length: " + std::to_string(content.size()) + "\r\n\r\n" +
+                                 content;
+      self->out_ += answer;
       self->flushSoon();
+      self->mayAnswerTwice(answer, result);
       if (!self->consume()) self->close();
     };
     worker_->submit(std::move(job));
     return true;
   }
 
+  void mayAnswerTwice(const std::string& answer, End result) {
+    using Kind = UnsolicitedAnswers::Kind;
+    const UnsolicitedAnswers& fault = worker_->options_.unsolicited;
+    if (fault.kind == Kind::served && result != End::served) return;
+    if (fault.kind == Kind::notRun && result != End::turnedAway) return;
+    worker_->lastAnswer_ = answer;
+    if (fault.afterAnswer > 0 && worker_->draw() < fault.afterAnswer)
+      answerUnasked(answer, worker_->unsolicitedDelay());
+  }
+
   void flushSoon() {
     if (std::exchange(flushing_, true)) return;
     asio::post(worker_->io_, [self = shared_from_this()] { self->flush(); });
@@ -202,7 +227,12 @@
 
 StandInWorker::StandInWorker(asio::io_context& io, const tcp::endpoint& listen, const WorkerOptions& options,
                              Ledger& ledger)
-    : io_(io), acceptor_(io, listen, true), options_(options), ledger_(ledger), random_(options.seed) {
+    : io_(io),
+      acceptor_(io, listen, true),
+      options_(options),
+      ledger_(ledger),
+      random_(options.seed),
+      lastAnswer_("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n") {
   accept();
 }
 
@@ -219,6 +249,9 @@
     const auto connection = std::make_shared<Connection>(*this, std::move(socket));
     connections_.insert(connection);
     connection->read();
+    ++accepted_;
+    if (options_.unsolicited.onConnect > 0 && draw() < options_.unsolicited.onConnect)
+      connection->answerUnasked(lastAnswer_, unsolicitedDelay());
     accept();
   });
 }
@@ -235,6 +268,12 @@
   return std::chrono::microseconds(static_cast<std::int64_t>(work));
 }
 
+std::chrono::microseconds StandInWorker::unsolicitedDelay() {
+  const UnsolicitedAnswers& fault = options_.unsolicited;
+  return std::chrono::microseconds(std::uniform_int_distribution<std::int64_t>(
+      fault.delayLeast.count(), std::max(fault.delayLeast, fault.delayMost).count())(random_));
+}
+
 void StandInWorker::submit(Job job) {
   ledger_.came(listening().port(), job.method, job.ref);
   const double fate = draw();
--- a/tools/standins/worker.hpp
+++ b/tools/standins/worker.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -20,6 +21,15 @@
 
 namespace cairnjunction::standins {
 
+// HTTP answers that nobody asked for: a fault of the worker.
+struct UnsolicitedAnswers {
+  enum class Kind { any, served, notRun };
+  double afterAnswer = 0;  // share of the answers that are sent a second time;
+  double onConnect = 0;    // share of the connections on which an answer comes without a request
+  std::chrono::microseconds delayLeast{0}, delayMost{0};  // behind the first answer, or the connecting
+  Kind kind = Kind::any;                                  // of the answers that are repeated
+};
+
 struct WorkerOptions {
   std::uint64_t seed = 1;
   std::chrono::microseconds workLeast{0}, workMost{0};
@@ -33,6 +43,8 @@
   std::chrono::milliseconds coldTime{0};   // after its start it is slower:
   double coldShare = 1;                    // by this share of its speed at first, then evenly faster
   std::chrono::milliseconds window{2000};  // for so long a repeat of a key is not run again
+  UnsolicitedAnswers unsolicited;
+  bool answersWithId = false;  // HTTP: a call without a body is answered by its X-Request-Id
 };
 
 class StandInWorker {
@@ -44,6 +56,9 @@
   StandInWorker& operator=(const StandInWorker&) = delete;
 
   boost::asio::ip::tcp::endpoint listening() const { return acceptor_.local_endpoint(); }
+  std::uint64_t accepted() const { return accepted_; }        // connections
+  std::uint64_t unsolicited() const { return unsolicited_; }  // answers that nobody asked for
+  std::optional<std::chrono::steady_clock::time_point> firstUnsolicited() const { return firstUnsolicited_; }
 
  private:
   class Connection;
@@ -58,6 +73,7 @@
   void submit(Job job);
   void begin(Job job);
   std::chrono::microseconds workTime();
+  std::chrono::microseconds unsolicitedDelay();
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
   boost::asio::io_context& io_;
@@ -70,6 +86,9 @@
   std::unordered_map<std::string, std::chrono::steady_clock::time_point> keys_;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
   std::size_t working_ = 0;
+  std::string lastAnswer_;  // HTTP: of any connection
+  std::uint64_t accepted_ = 0, unsolicited_ = 0;
+  std::optional<std::chrono::steady_clock::time_point> firstUnsolicited_;
 };
 
 }  // namespace cairnjunction::standins
--- a/tools/worker_main.cpp
+++ b/tools/worker_main.cpp
@@ -41,6 +41,16 @@
   app.add_option("--cold-share", options.coldShare, "share of its speed that it starts with")
       ->check(CLI::Range(0.01, 1.0))
       ->capture_default_str();
+  double secondLeast = 0, secondMost = 0;
+  UnsolicitedAnswers& unsolicited = options.unsolicited;
+  app.add_option("--answer-twice", unsolicited.afterAnswer, "HTTP: share of answers that are sent twice")
+      ->check(CLI::Range(0.0, 1.0));
+  app.add_option("--answer-on-connect", unsolicited.onConnect,
+                 "HTTP: share of connections on which an answer comes before any request")
+      ->check(CLI::Range(0.0, 1.0));
+  app.add_option("--answer-twice-least", secondLeast, "milliseconds until such an answer, at least")
+      ->capture_default_str();
+  app.add_option("--answer-twice-most", secondMost, "and at most")->capture_default_str();
   app.add_option("--seed", options.seed, "of what is drawn")->capture_default_str();
   std::string ledgerFile;
   app.add_option("--ledger", ledgerFile, "a file for what came and what ran, a line each");
@@ -48,6 +58,9 @@
   options.workLeast = std::chrono::microseconds(static_cast<std::int64_t>(workLeast * 1000));
   options.workMost =
       std::chrono::microseconds(static_cast<std::int64_t>(std::max(workLeast, workMost) * 1000));
+  unsolicited.delayLeast = std::chrono::microseconds(static_cast<std::int64_t>(secondLeast * 1000));
+  unsolicited.delayMost =
+      std::chrono::microseconds(static_cast<std::int64_t>(std::max(secondLeast, secondMost) * 1000));
   options.coldTime = std::chrono::milliseconds(static_cast<std::int64_t>(cold * 1000));
   try {
     boost::asio::io_context io(1);
