Bytes that an endpoint sends unasked are no longer served as an answer

Cause: an HTTP/1.1 response does not name its request. The gateway trusted a used connection after 5 ms of silence, and a new one at once, so a second answer, or one that comes before any request, was taken for the answer to the next request; as a 503 with X-Not-Run it freed an unsafe request for another attempt.

Change: a request is written only to a connection that has been silent for 20 ms and a round trip since it was established, or 75 ms since its last answer; a single attempt waits for that, more open another connection. Bytes that nobody asked for, on any connection of an endpoint, are evidence: counted, logged once, and for 60 s that endpoint, and where the silence may be too short all, need 300 ms; behind a late second answer a connection carries one request, and attempts on used connections end as errors that may have run. Responses before the last byte of a request are none. A 408 on an idle connection is its end.

Why it works: the second answer arrives in the silence, where no request can get it; what is later is seen by the answer that it leaves over.

--- a/include/cairnjunction/attempt.hpp
+++ b/include/cairnjunction/attempt.hpp
@@ -31,7 +31,9 @@
   brokenWhileWriting,   // connectFailed: the connection broke before the last byte was written
   cancelledBeforeSend,  // connectFailed: cancelled before any byte was written: the list drained, removed
                         // or moved the endpoint, or the client disconnected
-  malformedResponse     // error, reset: the response could not be parsed
+  malformedResponse,    // error, reset: the response could not be parsed
+  unsolicitedBytes      // connectFailed, error: the endpoint sent bytes that answer no request, so that a
+                        // response on the connection can't be trusted
 };
 
 // Which connection an attempt used.
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -159,6 +159,10 @@
         io_, hostLimits(config), ended,
         [this](AttemptOutcome end) { engine_.responseStarted(std::move(end)); });
     limitUpstream_ = [to = upstream.get()](const Config& c) { to->setLimits(hostLimits(c)); };
+    unsolicitedBytes_ = [of = upstream.get()] { return of->unsolicitedBytes(); };
+    upstream->onUnsolicitedBytes([this](const UnsolicitedBytes& found) {
+      if (found.first) log_(logLine(found, engine_.addressOf(found.endpoint)));
+    });
     return upstream;
   }
   jsonrpc::Upstream::Limits limits;
@@ -260,6 +264,8 @@
   for (const Engine::ReplyCounts& tally : engine_.replyCounts())
     figures.classes.push_back({tally.className, tally.ok, tally.rejected, tally.failed});
   figures.dispatches = upstream_->attemptsWritten();
+  std::uint64_t connectionsOpened = upstream_->connectionsOpened();
+  std::uint64_t unsolicitedBytes = unsolicitedBytes_ ? unsolicitedBytes_() : 0;
   if (pools_)
     for (const auto& pool : pools_->fixed()) {
       const auto& tallies = pool->engine().replyCounts();
@@ -272,6 +278,8 @@
         known->error += tallies[i].failed;
       }
       figures.dispatches += pool->upstream().attemptsWritten();
+      connectionsOpened += pool->upstream().connectionsOpened();
+      unsolicitedBytes += pool->upstream().unsolicitedBytes();
     }
   figures.concurrent = engine_.awaitingReply();
   const Engine::EndpointCounts targets = engine_.endpointCounts();
@@ -281,6 +289,8 @@
   figures.reloadFailure = reloadFailures_;
   if (fleet_) figures.more = fleet_->figures();
   figures.more.emplace_back("list_stale", discovery_.stale());
+  figures.more.emplace_back("connections_opened", connectionsOpened);
+  figures.more.emplace_back("unsolicited_bytes", unsolicitedBytes);
   return figures;
 }
 
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -102,6 +103,7 @@
   const bool shared_;  // other processes have the clients' listening socket too
   std::function<void(std::string)> log_;
   std::function<void(const Config&)> limitUpstream_;  // set by makeUpstream(), so declared before upstream_
+  std::function<std::uint64_t()> unsolicitedBytes_;   // likewise; empty: not of this protocol
   std::unique_ptr<EndpointUpstream> upstream_;
   Engine engine_;
   DiscoveryClient discovery_;
--- a/src/app/pools.cpp
+++ b/src/app/pools.cpp
@@ -72,6 +72,9 @@
       waker_(io),
       planTimer_(io) {
   upstream_.shareDescriptors(this);
+  upstream_.onUnsolicitedBytes([this](const UnsolicitedBytes& found) {
+    if (found.first) this->log(logLine(found, engine_.addressOf(found.endpoint)));
+  });
   upstream_.onConnections(
       [this](policy::EndpointId host, EndpointConnections now) { engine_.connectionsChanged(host, now); });
   for (std::size_t i = 0; i < pool.servers.size(); ++i) {
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -101,6 +101,7 @@
   policy::Timestamp now() const { return runtime_.now(); }
   const EndpointHealth& endpointHealth() const { return endpointHealth_; }
   const policy::LoadBalancer& loadBalancer() const { return balancer_; }
+  const std::string& addressOf(policy::EndpointId endpoint) const { return balancer_.address(endpoint); }
   policy::EndpointId findEndpoint(std::string_view address) const { return balancer_.findEndpoint(address); }
   // For a graceful shutdown: calls accepted from now on have their deadline within `left` from now.
   void limitTimeRemaining(policy::Duration left) { latestDeadline_ = now() + left; }
--- a/src/http/request_writer.cpp
+++ b/src/http/request_writer.cpp
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/error.hpp>
 #include <boost/system/error_code.hpp>
 
+#include "common/socket_io.hpp"
 #include "http/message.hpp"
 
 namespace cairnjunction {
@@ -27,8 +27,8 @@
         asio::buffer(std::string_view(head_).substr(writtenOfHead)),
         asio::buffer(body_.substr(written_ - writtenOfHead))};
     boost::system::error_code ec;
-    written_ += socket.write_some(unwritten, ec);
-    if (ec == asio::error::would_block || ec == asio::error::try_again) return Result::blocked;
+    written_ += writeSome(socket, unwritten, ec);
+    if (wouldBlock(ec)) return Result::blocked;
     if (ec) return Result::failed;
   }
   body_ = {};
--- a/src/http/response_reader.hpp
+++ b/src/http/response_reader.hpp
@@ -51,6 +51,8 @@
   // Whether the connection may carry another request. Valid once the response is complete. False if further
   // bytes follow it, since they would be taken for the next response.
   bool mayReuseConnection() const;
+  // Whether bytes follow the complete response.
+  bool hasSurplus() const { return buffer_.size() > 0; }
 
   // Whether the buffered body exceeds kMaxBufferedResponseBytes, so that it has to be streamed or dropped.
   bool exceedsBuffer() const;
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -18,7 +18,9 @@
       attempts_(std::move(ended)),
       pool_(io, limits, connectionCounts(), [this, &io](EndpointId endpoint) {
         return std::make_shared<HttpConnection>(io, pool_, attempts_, started_, endpoint);
-      }) {}
+      }) {
+  pool_.onUnsolicitedBytes([this](const UnsolicitedBytes& found) { onUnsolicited(found); });
+}
 
 HttpUpstream::~HttpUpstream() { closeAll(); }
 
@@ -28,6 +30,14 @@
   pool_.stop();
 }
 
+void HttpUpstream::onUnsolicited(const UnsolicitedBytes& found) {
+  ++unsolicitedBytes_;
+  if (seen_) seen_(found);
+  if (found.after == UnsolicitedAfter::response) return;  // the silence of the others covers that
+  for (const auto& connection : attempts_.connections())
+    if (connection->endpoint() == found.endpoint) connection->onEndpointDistrusted(found.after);
+}
+
 void HttpUpstream::start(AttemptKey key, EndpointId endpoint, const Call& call,
                          const AttemptTimeouts& timeouts) {
   const AttemptDeadlines deadlines(timeouts, std::chrono::steady_clock::now());
--- a/src/http/upstream.hpp
+++ b/src/http/upstream.hpp
@@ -6,6 +6,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <utility>
 
 #include "cairnjunction/load_balancer.hpp"
 #include "core/attempt.hpp"
@@ -36,6 +38,10 @@
   // other users and must outlive the upstream. Null: only the limit applies.
   void shareDescriptors(DescriptorQuota* quota) { pool_.setDescriptorQuota(quota); }
 
+  // `seen` is called at each finding of unsolicited bytes; it must not call back into the upstream.
+  void onUnsolicitedBytes(std::function<void(const UnsolicitedBytes&)> seen) { seen_ = std::move(seen); }
+  std::uint64_t unsolicitedBytes() const { return unsolicitedBytes_; }  // findings since the start
+
   void start(AttemptKey key, policy::EndpointId endpoint, const Call& call,
              const AttemptTimeouts& timeouts) override;
   void cancel(AttemptKey key) override;
@@ -53,10 +59,13 @@
 
  private:
   void closeAll();
+  void onUnsolicited(const UnsolicitedBytes& found);
 
   const ResponseStarted started_;  // may be empty
   HttpConnection::Attempts attempts_;
   HttpConnectionPool pool_;
+  std::function<void(const UnsolicitedBytes&)> seen_;  // may be empty
+  std::uint64_t unsolicitedBytes_ = 0;
 };
 
 }  // namespace cairnjunction
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -35,9 +35,17 @@
   address_ = address;
   call_ = &call;
   deadlines_ = deadlines;
+  hasAttempt_ = true;
   mayStream_ = call.acceptsStreaming && responseStarted_;
-  if (reused_) writeWhenQuiet();
-  else connect();
+  if (established_) return writeWhenQuiet();
+  openedForAttempt_ = true;
+  connect();
+}
+
+void HttpConnection::openSpare(const tcp::endpoint& address) {
+  address_ = address;
+  deadlines_ = AttemptDeadlines({pool_.limits().connectTimeout}, Clock::now());
+  connect();
 }
 
 // --- Connecting -----------------------------------------------------------------------------------------
@@ -60,38 +68,55 @@
 
 void HttpConnection::onConnected() {
   established_ = true;
+  silentSince_ = Clock::now();
+  connectTime_ = silentSince_ - deadlines_.startedAt;
   pool_.counts().onEstablished(endpoint_);
-  if (isEndpointServing()) beginWriting();
-  else end(Outcome::connectFailed, FailureReason::cancelledBeforeSend);
+  if (!isEndpointServing()) end(Outcome::connectFailed, FailureReason::cancelledBeforeSend);
+  else if (hasAttempt_) writeWhenQuiet();
+  else becomeIdle();
 }
 
 // Checked again before the first byte is written: since the attempt began, the endpoint list may have changed
 // the endpoint to draining, removed it or changed its address, and it must get no new request after that.
 bool HttpConnection::isEndpointServing() const { return pool_.endpoints().isServingAt(endpoint_, address_); }
 
+// The required silence is looked up each time, since unsolicited bytes of an endpoint lengthen it.
 void HttpConnection::writeWhenQuiet() {
-  const auto quietAt = idleSince_ + pool_.limits().quiet;
-  if (Clock::now() >= quietAt) return beginWriting();
+  const auto now = Clock::now();
+  const auto silentEnough = pool_.silentEnough(*this, now);
+  if (now < silentEnough) return waitForSilence(silentEnough);
+  if (isEndpointServing()) beginWriting();
+  else end(Outcome::connectFailed, FailureReason::cancelledBeforeSend);
+}
+
+void HttpConnection::waitForSilence(Clock::time_point silentEnough) {
   phase_ = Phase::quiet;
-  timer_.expires_at(quietAt);
-  timer_.async_wait([self = shared_from_this(), wait = ++timerWait_](const error_code& ec) {
-    if (!ec && wait == self->timerWait_ && self->phase_ == Phase::quiet) self->onQuiet();
+  watchIdle();
+  const auto attemptEnd = deadlines_.unwrittenEnd();
+  timer_.expires_at(std::min(silentEnough, attemptEnd));
+  timer_.async_wait([self = shared_from_this(), attemptEnd, wait = ++timerWait_](const error_code& ec) {
+    if (ec || wait != self->timerWait_ || self->phase_ != Phase::quiet) return;
+    if (Clock::now() < attemptEnd) self->writeWhenQuiet();
+    else self->endUnwritten(Outcome::connectFailed, FailureReason::attemptTimeout);
   });
 }
 
-void HttpConnection::onQuiet() {
-  if (!isEndpointServing()) end(Outcome::connectFailed, FailureReason::cancelledBeforeSend);
-  else if (!isUsable()) end(Outcome::connectFailed, FailureReason::brokenWhileWriting);
-  else beginWriting();
+void HttpConnection::onQuietInput() {
+  switch (idleInput()) {
+    case IdleInput::silent: return watchIdle();
+    case IdleInput::closed: return end(Outcome::connectFailed, FailureReason::brokenWhileWriting);
+    case IdleInput::unsolicitedBytes: return onUnsolicitedBytes(Outcome::connectFailed);
+  }
 }
 
 // --- Writing --------------------------------------------------------------------------------------------
 
-// The request is formatted only now: it contains the remaining time, and connecting or the quiet period may
-// have used much of it. Until the last byte is written the attempt is not executed, so both of its timeouts
-// end it as not sent.
+// The request is formatted only now: it contains the remaining time, and connecting or the wait for silence
+// may have used much of it. Until the last byte is written the attempt is not executed, so both of its
+// timeouts end it as not sent.
 void HttpConnection::beginWriting() {
   phase_ = Phase::writing;
+  if (requests_++ == 0) firstSilence_ = Clock::now() - silentSince_;
   writer_.begin(*call_, address_, deadlines_.responseBy - Clock::now());
   endAt(deadlines_.unwrittenEnd(), Outcome::connectFailed, FailureReason::attemptTimeout);
   write();
@@ -101,6 +126,12 @@
   // Checked here too, since the timer may fire late.
   if (Clock::now() >= deadlines_.unwrittenEnd())
     return end(Outcome::connectFailed, FailureReason::attemptTimeout);
+  // What is there before the last byte of the request is written is no response to it.
+  switch (idleInput()) {
+    case IdleInput::silent: break;
+    case IdleInput::closed: return end(Outcome::connectFailed, FailureReason::brokenWhileWriting);
+    case IdleInput::unsolicitedBytes: return onUnsolicitedBytes(Outcome::connectFailed);
+  }
   switch (writer_.write(socket_)) {
     case RequestWriter::Result::blocked: return waitWritable();
     case RequestWriter::Result::failed: return end(Outcome::connectFailed, FailureReason::brokenWhileWriting);
@@ -148,14 +179,20 @@
     case ResponseReader::State::incomplete:
       if (streamBody()) receive();
       return;
-    case ResponseReader::State::complete:
-      return end(reader_.outcome(), FailureReason::unknown, reader_.mayReuseConnection());
+    case ResponseReader::State::complete: return onComplete();
     case ResponseReader::State::decidedByHead: return end(reader_.outcome());
     case ResponseReader::State::malformed: return end(Outcome::error, FailureReason::malformedResponse);
     case ResponseReader::State::abandoned: return;  // the consumer of the stream has ended the attempt
   }
 }
 
+void HttpConnection::onComplete() {
+  const Outcome outcome = reader_.outcome();
+  silentSince_ = Clock::now();
+  if (reader_.hasSurplus()) return onUnsolicitedBytes(outcome);
+  end(outcome, FailureReason::unknown, reader_.mayReuseConnection());
+}
+
 void HttpConnection::onReadFailed(const error_code& ec) {
   const bool whole = ec == asio::error::eof && reader_.endsWithConnection();
   end(whole ? Outcome::served : Outcome::reset);
@@ -209,20 +246,78 @@
 
 // --- The end of an attempt ------------------------------------------------------------------------------
 
-void HttpConnection::cancel() { end(Outcome::cancelled); }
+void HttpConnection::cancel() {
+  if (phase_ == Phase::quiet) endUnwritten(Outcome::cancelled, FailureReason::unknown);
+  else end(Outcome::cancelled);
+}
 
 void HttpConnection::cancelIfUnsent() {
-  if (phase_ == Phase::connecting || phase_ == Phase::quiet || phase_ == Phase::writing)
+  if (phase_ == Phase::quiet) endUnwritten(Outcome::connectFailed, FailureReason::cancelledBeforeSend);
+  else if (phase_ == Phase::connecting || phase_ == Phase::writing)
     end(Outcome::connectFailed, FailureReason::cancelledBeforeSend);
 }
 
+// Ends an attempt that waits for silence. A new connection is kept, since its silence goes on.
+void HttpConnection::endUnwritten(Outcome outcome, FailureReason reason) { end(outcome, reason, !isUsed()); }
+
+// --- Unsolicited bytes ----------------------------------------------------------------------------------
+
+UnsolicitedAfter HttpConnection::unsolicitedAfter() const {
+  const auto now = Clock::now();
+  ConnectionHistory before = history(now);
+  // Bytes before the end of a request follow what was there before it.
+  if (phase_ == Phase::writing) --before.requests;
+  return pool_.trust().classify(before, now);
+}
+
+// The endpoint has sent bytes that answer no request. `outcome` is the attempt's if its response, where there
+// is one, is trusted. The pool is told first, since the end of an attempt may start the next one at once.
+void HttpConnection::onUnsolicitedBytes(Outcome outcome) {
+  const auto self = shared_from_this();
+  const UnsolicitedAfter after = unsolicitedAfter();
+  pool_.onUnsolicitedBytes(*this);
+  if (!hasAttempt_) return;  // ended meanwhile
+  if (outcome == Outcome::connectFailed) end(outcome, FailureReason::unsolicitedBytes);
+  else if (isTrusted(after)) end(outcome);
+  else end(Outcome::error, FailureReason::unsolicitedBytes);
+}
+
+// Whether the response to the current request is its own although the endpoint sends unsolicited bytes.
+bool HttpConnection::isTrusted(UnsolicitedAfter after) const {
+  const bool isFirst = requests_ == 1;
+  if (!isFirst) return after == UnsolicitedAfter::connecting;
+  const bool mayBeFromConnecting =
+      after == UnsolicitedAfter::connecting || after == UnsolicitedAfter::connectingOrResponse;
+  return !mayBeFromConnecting || firstSilence_ >= pool_.limits().silence.inDoubt;
+}
+
+void HttpConnection::onEndpointDistrusted(UnsolicitedAfter after) {
+  switch (phase_) {
+    case Phase::quiet:
+      if (isUsed() && after != UnsolicitedAfter::connecting)
+        end(Outcome::connectFailed, FailureReason::unsolicitedBytes);
+      return;
+    case Phase::writing:
+      if (!isTrusted(after)) end(Outcome::connectFailed, FailureReason::unsolicitedBytes);
+      return;
+    case Phase::reading:
+      // The client has a part of a streamed response already.
+      if (!reader_.isStreaming() && !isTrusted(after)) end(Outcome::error, FailureReason::unsolicitedBytes);
+      return;
+    case Phase::connecting:
+    case Phase::idle:
+    case Phase::closed: return;
+  }
+}
+
 // The connection is reused only after a complete response: otherwise the rest of the response may still
 // arrive, and would be taken for the response to the next request.
 void HttpConnection::end(Outcome outcome, FailureReason reason, bool reusable) {
   const auto self = shared_from_this();
+  if (!std::exchange(hasAttempt_, false)) return close();  // opened for a later attempt
   AttemptOutcome ended{key_, endpoint_, outcome, Clock::now() - deadlines_.startedAt, {}, reason};
   ended.connectionUse = connectionUse();
-  reused_ = true;
+  openedForAttempt_ = false;
   const auto stream = reader_.takeStream();
   auto message = reader_.takeMessage();
   if (outcome == Outcome::served && message) ended.response = std::move(*message);
@@ -230,8 +325,9 @@
   const auto* const entry = pool_.endpoints().find(endpoint_);
   // While the connection was excluded from the counts, the endpoint's id may have been reused for another
   // one.
-  ended.connectionKept =
-      reusable && entry != nullptr && entry->serving && (!onlyStreaming_ || entry->address == address_);
+  ended.connectionKept = reusable && entry != nullptr && entry->serving &&
+                         (!onlyStreaming_ || entry->address == address_) &&
+                         !(isUsed() && pool_.trust().isSingleUse(endpoint_, Clock::now()));
   if (ended.connectionKept) {
     if (std::exchange(onlyStreaming_, false)) pool_.counts().include(endpoint_);
     becomeIdle();
@@ -246,8 +342,8 @@
 }
 
 ConnectionUse HttpConnection::connectionUse() const {
-  if (reused_) return ConnectionUse::reused;
-  return established_ ? ConnectionUse::opened : ConnectionUse::none;
+  if (!established_) return ConnectionUse::none;
+  return openedForAttempt_ ? ConnectionUse::opened : ConnectionUse::reused;
 }
 
 void HttpConnection::close() {
@@ -257,7 +353,7 @@
   error_code ignored;
   socket_.close(ignored);
   if (const auto stream = reader_.takeStream()) stream->fail();
-  pool_.onClosed(endpoint_, established_, onlyStreaming_);
+  pool_.onClosed(*this, established_, onlyStreaming_);
 }
 
 // --- Idle -----------------------------------------------------------------------------------------------
@@ -267,24 +363,29 @@
   stopTimer();
   writer_.clear();
   reader_.freeBuffer();
-  idleSince_ = Clock::now();
+  call_ = nullptr;
   pool_.addIdle(shared_from_this());
   watchIdle();
 }
 
-// An idle connection becomes readable when the endpoint closes it or sends unsolicited bytes. Either way the
-// connection is closed.
+// A connection on which no response is due becomes readable when the endpoint closes it or sends unsolicited
+// bytes.
 void HttpConnection::watchIdle() {
   if (std::exchange(watchingIdle_, true)) return;
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code&) {
     self->watchingIdle_ = false;
-    if (self->phase_ == Phase::idle) self->pool_.closeIdle(self);
-    else if (self->phase_ == Phase::quiet)
-      self->end(Outcome::connectFailed, FailureReason::brokenWhileWriting);
+    if (self->phase_ == Phase::idle) self->onIdleInput();
+    else if (self->phase_ == Phase::quiet) self->onQuietInput();
   });
 }
 
-bool HttpConnection::isUsable() { return isOpenAndSilent(socket_); }
+void HttpConnection::onIdleInput() {
+  const auto self = shared_from_this();
+  const IdleInput input = idleInput();
+  if (input == IdleInput::silent) return watchIdle();
+  if (input == IdleInput::unsolicitedBytes) pool_.onUnsolicitedBytes(*this);
+  pool_.closeIdle(self);
+}
 
 // --- Timer ----------------------------------------------------------------------------------------------
 
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -16,6 +16,8 @@
 #include "http/response_reader.hpp"
 #include "upstream/attempt_deadlines.hpp"
 #include "upstream/attempt_tracker.hpp"
+#include "upstream/connection_trust.hpp"
+#include "upstream/idle_connection.hpp"
 
 namespace cairnjunction {
 
@@ -37,23 +39,37 @@
         socket_(io),
         timer_(io) {}
 
-  // Begins an attempt, which the caller has added to `attempts` with this connection: connects first, or
-  // waits for the end of the quiet period. `call` must stay valid until the attempt has ended.
+  // Begins an attempt, which the caller has added to `attempts` with this connection: connects first, if that
+  // is not done, and waits until the connection has been silent for long enough. `call` must stay valid until
+  // the attempt has ended.
   void start(AttemptKey key, const boost::asio::ip::tcp::endpoint& address, const Call& call,
              const AttemptDeadlines& deadlines);
+  // Connects for a later attempt. The connection then becomes idle.
+  void openSpare(const boost::asio::ip::tcp::endpoint& address);
+  // The endpoint has sent unsolicited bytes on some connection: ends the attempt here, unless its response
+  // can be trusted nevertheless.
+  void onEndpointDistrusted(UnsolicitedAfter after);
   void cancel();          // ends the attempt
   void cancelIfUnsent();  // ends the attempt unless the last byte of its request is written
   // Closes it in any state, without reporting an outcome. The pool must not list it as idle any more.
   void close();
 
   policy::EndpointId endpoint() const { return endpoint_; }
-  Clock::time_point idleSince() const { return idleSince_; }  // since the end of the last attempt
-  bool isUsable();  // of an idle one: no byte was received, and the endpoint has not closed it
+  // Since the last response, or since it was established.
+  Clock::time_point silentSince() const { return silentSince_; }
+  ConnectionHistory history(Clock::time_point now) const {
+    return {requests_, firstSilence_, now - silentSince_};
+  }
+  policy::Duration connectTime() const { return connectTime_; }  // about a round trip
+  bool isUsed() const { return requests_ > 0; }  // a request was written to it, if only in part
+  UnsolicitedAfter unsolicitedAfter() const;     // of unsolicited bytes that it has now
+  // Of an idle connection.
+  IdleInput idleInput() { return idleInputOf(socket_); }
 
  private:
   enum class Phase {
     connecting,  // also before start()
-    quiet,       // reused; waits for the end of the quiet period after the last response
+    quiet,       // waits until it has been silent for long enough
     writing,     // the last byte of the request is not written
     reading,     // the request is written; the response is not complete
     idle,        // no attempt; listed as idle by the pool
@@ -63,13 +79,15 @@
   void connect();
   void onConnected();
   void writeWhenQuiet();
-  void onQuiet();
+  void waitForSilence(Clock::time_point silentEnough);
+  void onQuietInput();
   void beginWriting();
   void write();
   void waitWritable();
   void beginReading();
   void receive();
   void onReceived();
+  void onComplete();
   void onReadFailed(const boost::system::error_code& ec);
   bool streamBody();
   void startStreaming();
@@ -77,8 +95,12 @@
   void onStreamLeft();
   void end(policy::Outcome outcome, policy::FailureReason reason = policy::FailureReason::unknown,
            bool reusable = false);
+  void endUnwritten(policy::Outcome outcome, policy::FailureReason reason);
+  void onUnsolicitedBytes(policy::Outcome outcome);
+  bool isTrusted(UnsolicitedAfter after) const;
   void becomeIdle();
   void watchIdle();
+  void onIdleInput();
   void endAt(Clock::time_point time, policy::Outcome outcome,
              policy::FailureReason reason = policy::FailureReason::unknown);
   void stopTimer();
@@ -99,13 +121,17 @@
   const Call* call_ = nullptr;  // of the current attempt until its request is written; null after that
   RequestWriter writer_;
   ResponseReader reader_;
-  Clock::time_point idleSince_;
-  bool established_ = false;    // the connection has been established
-  bool reused_ = false;         // an attempt has ended on this connection
-  bool mayStream_ = false;      // the response of the current attempt may be streamed
-  bool readingPaused_ = false;  // the stream is full; onStreamRoom() resumes reading
-  bool onlyStreaming_ = false;  // excluded from its endpoint's counts, since it streams a response
-  bool watchingIdle_ = false;   // a wait for the socket to become readable is pending
+  Clock::time_point silentSince_;
+  policy::Duration connectTime_{};
+  policy::Duration firstSilence_{};  // before the first request
+  std::uint64_t requests_ = 0;       // written to it, if only in part
+  bool established_ = false;         // the connection has been established
+  bool hasAttempt_ = false;          // an attempt is using it
+  bool openedForAttempt_ = false;    // the current attempt is the first
+  bool mayStream_ = false;           // the response of the current attempt may be streamed
+  bool readingPaused_ = false;       // the stream is full; onStreamRoom() resumes reading
+  bool onlyStreaming_ = false;       // excluded from its endpoint's counts, since it streams a response
+  bool watchingIdle_ = false;        // a wait for the socket to become readable is pending
 };
 
 }  // namespace cairnjunction
--- a/src/http/upstream_pool.hpp
+++ b/src/http/upstream_pool.hpp
@@ -8,10 +8,14 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
+#include <unordered_set>
+#include <utility>
 
 #include "cairnjunction/load_balancer.hpp"
 #include "http/upstream_connection.hpp"
 #include "upstream/connection_counts.hpp"
+#include "upstream/connection_trust.hpp"
 #include "upstream/descriptor_quota.hpp"
 #include "upstream/endpoint_table.hpp"
 #include "upstream/periodic_timer.hpp"
@@ -22,18 +26,26 @@
   std::size_t connections = 256;      // maximum, to all endpoints together
   policy::Duration connectTimeout{};  // for establishing a connection
   policy::Duration idleClose{};       // idle time after which endpoints may close a connection; 0 = never
-  // Quiet period: no request is written to a connection until this time after its last response. A faulty
-  // endpoint that responds twice sends the second response some milliseconds late, and it would be taken for
-  // the response to the next request.
-  policy::Duration quiet = std::chrono::milliseconds(5);
+  SilenceSettings silence = {};       // before a request is written to a connection
 };
 
+// Bytes that an endpoint sent without being asked.
+struct UnsolicitedBytes {
+  policy::EndpointId endpoint = policy::kNone;
+  UnsolicitedAfter after = UnsolicitedAfter::response;
+  policy::Duration silence{};  // of the connection until then
+  bool first = false;          // the first ones of the endpoint for some time
+};
+
+std::string logLine(const UnsolicitedBytes& found, const std::string& endpoint);
+
 class HttpConnectionPool {
  public:
   using ConnectionPtr = std::shared_ptr<HttpConnection>;
   // Each endpoint with its idle connections, the most recently used last.
   using Endpoints = EndpointTable<HttpConnection>;
   using MakeConnection = std::function<ConnectionPtr(policy::EndpointId)>;
+  using UnsolicitedBytesSeen = std::function<void(const UnsolicitedBytes&)>;
 
   // `counts` must outlive the pool.
   HttpConnectionPool(boost::asio::io_context& io, const HttpConnectionLimits& limits,
@@ -42,7 +54,12 @@
   HttpConnectionPool& operator=(const HttpConnectionPool&) = delete;
 
   const HttpConnectionLimits& limits() const { return limits_; }
-  void setLimits(const HttpConnectionLimits& limits) { limits_ = limits; }
+  void setLimits(const HttpConnectionLimits& limits) {
+    limits_ = limits;
+    trust_.configure(limits.silence);
+  }
+  // `seen` is called at each finding of unsolicited bytes.
+  void onUnsolicitedBytes(UnsolicitedBytesSeen seen) { unsolicitedBytesSeen_ = std::move(seen); }
   // Besides the connection limit, each connection acquires a descriptor from `quota`, which must outlive the
   // pool. Null: only the limit applies.
   void setDescriptorQuota(DescriptorQuota* quota) { descriptorQuota_ = quota; }
@@ -50,6 +67,7 @@
   Endpoints& endpoints() { return endpoints_; }
   std::size_t endpointCount() const { return endpoints_.size(); }
   ConnectionCounts& counts() { return counts_; }
+  ConnectionTrust& trust() { return trust_; }
   // These implement the functions of EndpointUpstream with the same names.
   bool updateEndpoint(policy::EndpointId endpoint, const boost::asio::ip::tcp::endpoint& address,
                       bool serving);
@@ -57,21 +75,39 @@
   void closeIdle(policy::EndpointId endpoint);
   void stop();  // closes all idle connections
 
-  // A connection for an attempt to an endpoint of the table: an idle one, or a new one that is not connected
-  // yet. At a limit the longest idle connection is closed for it. Null if a limit is reached and none is
-  // idle.
+  // A connection for an attempt to an endpoint of the table: an idle one that has been silent for long
+  // enough, or will be as soon as a new one would, or a new one that is not connected yet. At a limit an idle
+  // one of the endpoint, whatever its silence, or a new one for which the longest idle one is closed. Null if
+  // a limit is reached and none is idle.
   ConnectionPtr acquire(Endpoints::Entry& entry, policy::EndpointId endpoint);
 
-  // Called by the connections. Adds one that has become idle, if its endpoint is in the table.
+  // When a request may be written to the connection.
+  HttpConnection::Clock::time_point silentEnough(const HttpConnection& connection,
+                                                 HttpConnection::Clock::time_point now) const;
+
+  // Called by the connections. The endpoint has sent unsolicited bytes on this one: closes its idle
+  // connections that can't be trusted any more.
+  void onUnsolicitedBytes(const HttpConnection& connection);
+  // Adds one that has become idle, if its endpoint is in the table.
   void addIdle(ConnectionPtr connection);
   // Removes an idle connection that can't be used any more, and closes it.
   void closeIdle(const ConnectionPtr& connection);
   // A connection was closed. `established`: it had been connected; `onlyStreaming`: it was excluded from the
   // counts of its endpoint.
-  void onClosed(policy::EndpointId endpoint, bool established, bool onlyStreaming);
+  void onClosed(HttpConnection& connection, bool established, bool onlyStreaming);
 
  private:
-  ConnectionPtr takeIdle(Endpoints::Entry& entry);
+  using Clock = HttpConnection::Clock;
+
+  ConnectionPtr takeSilent(Endpoints::Entry& entry);
+  Clock::time_point waitUntil(const Endpoints::Entry& entry, policy::EndpointId endpoint,
+                              Clock::time_point now) const;
+  ConnectionPtr takeSoonestSilent(Endpoints::Entry& entry, Clock::time_point by);
+  ConnectionPtr open(policy::EndpointId endpoint);
+  void openSpares(Endpoints::Entry& entry, policy::EndpointId endpoint, bool attemptWaits);
+  void closeUsedIdle(policy::EndpointId endpoint);
+  bool closeIfUnusable(Endpoints::Entry& entry, const ConnectionPtr& connection);
+  bool isAtLimit() const { return counts_.total() >= limits_.connections; }
   bool mayOpen();
   bool closeOldestIdle();
   bool isIdleTooLong(const HttpConnection& connection) const;
@@ -81,8 +117,11 @@
   ConnectionCounts& counts_;
   const MakeConnection makeConnection_;
   DescriptorQuota* descriptorQuota_ = nullptr;
+  ConnectionTrust trust_;
+  UnsolicitedBytesSeen unsolicitedBytesSeen_;  // may be empty
   Endpoints endpoints_;
-  PeriodicTimer idleCheck_;  // runs closeOutdated()
+  std::unordered_set<ConnectionPtr> openingSpares_;  // not established
+  PeriodicTimer idleCheck_;                          // runs closeOutdated()
 };
 
 }  // namespace cairnjunction
--- a/src/policy/outlier_detection.cpp
+++ b/src/policy/outlier_detection.cpp
@@ -44,7 +44,8 @@
 
   // Malformed responses may come from every endpoint alike and are no sign of load. Only an endpoint that
   // gives more of them than its peers must be avoided; its failure rate covers this.
-  const bool malformed = result.failureReason == FailureReason::malformedResponse;
+  const bool malformed = result.failureReason == FailureReason::malformedResponse ||
+                         result.failureReason == FailureReason::unsolicitedBytes;
   record.outcomes += 1;
   if (overloaded || (failed && !malformed)) record.errors += 1;
   if (!overloaded) record.failureRate += kFailureGain * ((failed ? 1.0 : 0.0) - record.failureRate);
--- a/src/upstream/attempt_tracker.hpp
+++ b/src/upstream/attempt_tracker.hpp
@@ -35,6 +35,11 @@
   void endUnconnected(AttemptKey key, policy::EndpointId endpoint, policy::FailureReason reason) {
     end({key, endpoint, policy::Outcome::connectFailed, {}, {}, reason, policy::ConnectionUse::none});
   }
+  std::vector<ConnectionPtr> connections() const {  // of all attempts; may repeat
+    std::vector<ConnectionPtr> all;
+    for (const auto& [key, connection] : connections_) all.push_back(connection);
+    return all;
+  }
   // Removes all attempts without reporting them, and returns their connections, which may repeat.
   std::vector<ConnectionPtr> takeAll() {
     std::vector<ConnectionPtr> all;
--- a/src/upstream/connection_counts.hpp
+++ b/src/upstream/connection_counts.hpp
@@ -27,6 +27,7 @@
   // endpoint's counts only while the endpoint is tracked.
   void onOpening(policy::EndpointId endpoint) {
     ++total_;
+    ++opened_;
     add(endpoint, 1, 0);
   }
   void onEstablished(policy::EndpointId endpoint) { add(endpoint, 0, 1); }
@@ -47,6 +48,7 @@
     return found == counts_.end() ? EndpointConnections{} : found->second;
   }
   std::size_t total() const { return total_; }
+  std::uint64_t opened() const { return opened_; }  // since the start
 
  private:
   void add(policy::EndpointId endpoint, int open, int established) {
@@ -62,6 +64,7 @@
 
   Observer observer_;
   std::unordered_map<policy::EndpointId, EndpointConnections> counts_;  // of the tracked endpoints
+  std::uint64_t opened_ = 0;
   std::size_t total_ = 0;  // connections that are not closed, including those of untracked endpoints
 };
 
--- a/src/upstream/endpoint_upstream.hpp
+++ b/src/upstream/endpoint_upstream.hpp
@@ -29,7 +29,8 @@
   virtual std::size_t endpointCount() const = 0;
   virtual std::uint64_t attemptsWritten() const = 0;  // attempts whose last byte was written
   std::size_t connectionCount() const { return connectionCounts_.total(); }
-  EndpointConnections connectionsOf(policy::EndpointId endpoint) const {  // zeros if it is unknown
+  std::uint64_t connectionsOpened() const { return connectionCounts_.opened(); }  // since the start
+  EndpointConnections connectionsOf(policy::EndpointId endpoint) const {          // zeros if it is unknown
     return connectionCounts_.of(endpoint);
   }
 
--- a/src/upstream/idle_connection.hpp
+++ b/src/upstream/idle_connection.hpp
@@ -2,13 +2,14 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/error.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/system/error_code.hpp>
 #include <chrono>
+#include <cstddef>
+#include <string_view>
 
 #include "cairnjunction/load_balancer.hpp"
+#include "common/socket_io.hpp"
 
 namespace cairnjunction {
 
@@ -27,13 +28,35 @@
   return now - idleSince >= endpointIdleTimeout - std::min(kIdleMargin, endpointIdleTimeout / 5);
 }
 
-// Whether the peer has neither closed an idle connection nor sent unexpected bytes. Asks the system directly,
-// since the event loop may notice either only later. `socket` must be non-blocking.
-inline bool isOpenAndSilent(boost::asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  boost::system::error_code ec;
-  socket.receive(boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek, ec);
-  return ec == boost::asio::error::would_block || ec == boost::asio::error::try_again;
+// What an endpoint has done on a connection on which no response is due.
+enum class IdleInput {
+  silent,
+  closed,           // closed or reset it, or announced that it closes it
+  unsolicitedBytes  // sent bytes without being asked
+};
+
+// Asks the system directly, since the event loop may notice it only later. `socket` must be non-blocking.
+template <class Socket>
+IdleInput idleInputOf(Socket& socket) {
+  // A server may close an idle connection with a response 408 (RFC 9110, 15.5.9).
+  constexpr std::string_view timeoutResponse11 = "HTTP/1.1 408 ";
+  constexpr std::string_view timeoutResponse10 = "HTTP/1.0 408 ";
+  std::array<char, timeoutResponse11.size()> start;
+  std::size_t size = 0;
+  switch (peekInput(socket, boost::asio::buffer(start), size)) {
+    case SocketInput::none: return IdleInput::silent;
+    case SocketInput::ended: return IdleInput::closed;
+    case SocketInput::bytes: break;
+  }
+  const std::string_view bytes(start.data(), size);
+  const bool announced = bytes == timeoutResponse11 || bytes == timeoutResponse10;
+  return announced ? IdleInput::closed : IdleInput::unsolicitedBytes;
+}
+
+// Whether the peer has neither closed an idle connection nor sent unexpected bytes.
+template <class Socket>
+bool isOpenAndSilent(Socket& socket) {
+  return peekInput(socket) == SocketInput::none;
 }
 
 }  // namespace cairnjunction
--- a/tests/soak/unsolicited_run.hpp
+++ b/tests/soak/unsolicited_run.hpp
@@ -13,8 +13,10 @@
 namespace cairnjunction::soak {
 
 struct UnsolicitedRunOptions {
-  std::string program;  // the gateway's
-  std::string folder;   // of this run; made, and removed again unless the run finds something
+  std::string program;      // the gateway's
+  std::string preload;      // the library that makes the gateway's system calls fail; needed for faultyCalls
+  std::string faultyCalls;  // see tests/soak/faulty_calls_preload.cpp; empty: none
+  std::string folder;       // of this run; made, and removed again unless the run finds something
   std::uint64_t seed = 1;
   int gateways = 1;
   int workers = 4;
