Interrupted, short and failing socket calls no longer lose requests

What callers saw, by a preload in the gateway: connections closed with no answer where a read was interrupted (115 of 2,882 requests); answers that the host made and that never came where a write was short (22 of 1,892); a gateway that stood still where accept failed (24 of 1,426).

Cause: EINTR from a synchronous read or peek was taken for the client's end. Asio's async_write takes a short write for a full socket and waits for an event that edge-triggered epoll never gives, as the socket was writable all the time. Asio's accept() waits for the next connection after ECONNABORTED, in the middle of the event loop, unless told otherwise; a moment without system resources (ENFILE, ENOBUFS, ENOMEM) closed clients' connections.

Change: common/socket_io is the one place that reads, peeks, writes and names failures of accept; HTTP, JSON-RPC, admin and fleet links use it.

The two shapes that held before hold.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -2,9 +2,10 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <utility>
 
+#include "common/socket_io.hpp"
+
 namespace cairnjunction::admin {
 namespace {
 
@@ -63,7 +64,7 @@
 
   void write(std::string text) {
     response_ = std::move(text);
-    asio::async_write(socket_, asio::buffer(response_), [self = shared_from_this()](error_code, std::size_t) {
+    asyncWriteAll(socket_, asio::buffer(response_), [self = shared_from_this()](error_code, std::size_t) {
       if (!self->server_) return;
       // Lingering close: closing a socket with unread bytes resets the connection, and the client may lose
       // the response. So only the sending side is shut down, and further input is discarded until the client
--- a/src/fleet/admin_socket.cpp
+++ b/src/fleet/admin_socket.cpp
@@ -11,6 +11,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "common/socket_io.hpp"
+
 namespace cairnjunction::fleet {
 
 using boost::asio::local::stream_protocol;
@@ -84,8 +86,8 @@
         const json response =
             request.is_object() ? handler_(request) : json{{"error", "expected a JSON object"}};
         client->buffer = response.dump() + "\n";
-        boost::asio::async_write(client->socket, boost::asio::buffer(client->buffer),
-                                 [client](error_code, std::size_t) {});
+        asyncWriteAll(client->socket, boost::asio::buffer(client->buffer),
+                      [client](error_code, std::size_t) {});
       }));
 }
 
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -1,9 +1,10 @@
 #include "fleet/link.hpp"
 
 #include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <utility>
 
+#include "common/socket_io.hpp"
+
 namespace cairnjunction::fleet {
 namespace {
 
@@ -129,11 +130,10 @@
   sendTimer_.async_wait([self = shared_from_this()](ErrorCode error) {
     if (!error && self->writing_) self->close(LinkEnd::sendTimeout, "writing a frame timed out");
   });
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(*queue_.front()),
-      [self = shared_from_this(), frame = queue_.front()](ErrorCode error, std::size_t written) {
-        if (!self->ended_) self->onWritten(error, written);
-      });
+  asyncWriteAll(socket_, boost::asio::buffer(*queue_.front()),
+                [self = shared_from_this(), frame = queue_.front()](ErrorCode error, std::size_t written) {
+                  if (!self->ended_) self->onWritten(error, written);
+                });
 }
 
 void Link::onWritten(ErrorCode error, std::size_t size) {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "common/socket_io.hpp"
 #include "http/session.hpp"
 
 namespace cairnjunction {
@@ -43,6 +44,7 @@
       sweepTimer_(io),
       acceptRetry_(io) {
   acceptor_.non_blocking(true);
+  reportAbortedConnections(acceptor_);
   accept();
   sweep();
 }
@@ -94,9 +96,14 @@
     error_code ec;
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
-    if (ec == asio::error::would_block || ec == asio::error::try_again) return true;
-    if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
-    if (ec) return freeCapacity();
+    if (ec) {
+      switch (acceptFailureOf(ec)) {
+        case AcceptFailure::nonePending: return true;
+        case AcceptFailure::connectionLost: continue;
+        case AcceptFailure::noDescriptor: return freeCapacity();
+        case AcceptFailure::noResources: return false;
+      }
+    }
     if (openCount_ >= limits_.connections) freeCapacity();
     addSession(std::move(socket));
     if (openCount_ > limits_.connections) return false;
@@ -112,10 +119,13 @@
     error_code ec;
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
-    if (ec == asio::error::would_block || ec == asio::error::try_again) return;
-    if (!ec) addSession(std::move(socket));
-    else if (ec != asio::error::connection_aborted && ec != asio::error::interrupted && !freeCapacity())
-      return;
+    if (!ec) {
+      addSession(std::move(socket));
+      continue;
+    }
+    const AcceptFailure failure = acceptFailureOf(ec);
+    if (failure == AcceptFailure::nonePending) return;
+    if (failure == AcceptFailure::noDescriptor && !freeCapacity()) return;
   }
 }
 
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -2,12 +2,13 @@
 #include "http/session.hpp"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <string_view>
 #include <utility>
 
+#include "common/socket_io.hpp"
+
 namespace cairnjunction {
 namespace {
 
@@ -65,12 +66,7 @@
 }
 
 // Whether the socket has no bytes to read and the client has disconnected (end of stream or reset).
-bool HttpServer::Session::isDisconnectNext() {
-  char byte;
-  error_code ec;
-  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-  return ec && ec != asio::error::would_block && ec != asio::error::try_again;
-}
+bool HttpServer::Session::isDisconnectNext() { return peekInput(socket_) == SocketInput::ended; }
 
 void HttpServer::Session::enter(State state) {
   Queue& to = server_->queue(state);
@@ -97,8 +93,8 @@
   if (state_ == State::writing || state_ == State::closed) return;
   error_code ec;
   const std::size_t n =
-      socket_.read_some(buffer_.prepare(bodyBegun_ || aheadOverrun_ ? kBodyReadSize : kReadSize), ec);
-  if (ec == asio::error::would_block || ec == asio::error::try_again) return waitReadable();
+      readSome(socket_, buffer_.prepare(bodyBegun_ || aheadOverrun_ ? kBodyReadSize : kReadSize), ec);
+  if (wouldBlock(ec)) return waitReadable();
   if (ec) return state_ == State::waiting ? onDisconnect() : close();
   buffer_.commit(n);
   switch (state_) {
@@ -214,7 +210,7 @@
   if (parser_->get().version() < 11) return;
   constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
   error_code ignored;  // a broken connection is detected by the next read
-  socket_.write_some(asio::buffer(interim), ignored);
+  writeSome(socket_, asio::buffer(interim), ignored);
 }
 
 void HttpServer::Session::reject(http::status status) {
@@ -313,14 +309,14 @@
 
 void HttpServer::Session::write() {
   writing_ = true;
-  asio::async_write(socket_, asio::buffer(responseBytes_),
-                    [self = shared_from_this()](error_code ec, std::size_t) {
-                      self->writing_ = false;
-                      if (self->state_ != State::writing) return;
-                      if (ec) return self->close();
-                      self->responseBytes_ = {};
-                      self->writeRest();
-                    });
+  asyncWriteAll(socket_, asio::buffer(responseBytes_),
+                [self = shared_from_this()](error_code ec, std::size_t) {
+                  self->writing_ = false;
+                  if (self->state_ != State::writing) return;
+                  if (ec) return self->close();
+                  self->responseBytes_ = {};
+                  self->writeRest();
+                });
 }
 
 // Writes the available part of a streamed response body, or ends the response.
--- a/src/jsonrpc/send_buffer.cpp
+++ b/src/jsonrpc/send_buffer.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/system/error_code.hpp>
 
-#include "jsonrpc/socket.hpp"
+#include "common/socket_io.hpp"
 
 namespace cairnjunction::jsonrpc {
 namespace {
@@ -41,7 +41,7 @@
   boost::system::error_code ec;
   while (sent_ < bytes_.size()) {
     const std::size_t written =
-        socket.write_some(boost::asio::buffer(bytes_.data() + sent_, bytes_.size() - sent_), ec);
+        writeSome(socket, boost::asio::buffer(bytes_.data() + sent_, bytes_.size() - sent_), ec);
     if (ec) break;
     sent_ += written;
   }
--- a/src/jsonrpc/server.cpp
+++ b/src/jsonrpc/server.cpp
@@ -7,9 +7,9 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "common/socket_io.hpp"
 #include "jsonrpc/parser.hpp"
 #include "jsonrpc/server_connection.hpp"
-#include "jsonrpc/socket.hpp"
 
 namespace cairnjunction::jsonrpc {
 namespace {
@@ -37,6 +37,7 @@
       again_(io),
       scratch_(kChunk + kPadding) {
   acceptor_.non_blocking(true);
+  reportAbortedConnections(acceptor_);
   accept();
   sweep();
 }
@@ -103,9 +104,14 @@
     error_code ec;
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
-    if (wouldBlock(ec)) return true;
-    if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
-    if (ec) return makeRoom();
+    if (ec) {
+      switch (acceptFailureOf(ec)) {
+        case AcceptFailure::nonePending: return true;
+        case AcceptFailure::connectionLost: continue;
+        case AcceptFailure::noDescriptor: return makeRoom();
+        case AcceptFailure::noResources: return false;
+      }
+    }
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
--- a/src/jsonrpc/server_connection.cpp
+++ b/src/jsonrpc/server_connection.cpp
@@ -7,8 +7,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 
+#include "common/socket_io.hpp"
 #include "jsonrpc/parser.hpp"
-#include "jsonrpc/socket.hpp"
 
 namespace cairnjunction::jsonrpc {
 namespace {
@@ -50,7 +50,7 @@
   error_code ec;
   while (sent_ < unsent_.size()) {
     const std::size_t n =
-        socket_.write_some(asio::buffer(unsent_.data() + sent_, unsent_.size() - sent_), ec);
+        writeSome(socket_, asio::buffer(unsent_.data() + sent_, unsent_.size() - sent_), ec);
     if (ec) break;
     sent_ += n;
   }
@@ -207,7 +207,7 @@
     return;  // resume() goes on
   error_code ec;
   const std::size_t most = paused_ ? std::min(kChunk, kAheadMost - received_.size()) : kChunk;
-  const std::size_t n = socket_.read_some(asio::buffer(server_->scratch_.data(), most), ec);
+  const std::size_t n = readSome(socket_, asio::buffer(server_->scratch_.data(), most), ec);
   if (wouldBlock(ec)) return waitUntilReadable();
   if (ec) return drop();
   if (paused_) {
--- a/src/jsonrpc/upstream_connection.cpp
+++ b/src/jsonrpc/upstream_connection.cpp
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "common/socket_io.hpp"
 #include "jsonrpc/parser.hpp"
-#include "jsonrpc/socket.hpp"
 #include "jsonrpc/upstream_pool.hpp"
 #include "jsonrpc/worker_protocol.hpp"
 #include "upstream/connector.hpp"
@@ -225,7 +225,7 @@
 void UpstreamConnection::onReadable() {
   error_code ec;
   std::vector<char>& buffer = pool_.readBuffer();
-  const std::size_t bytes = socket_.read_some(asio::buffer(buffer), ec);
+  const std::size_t bytes = readSome(socket_, asio::buffer(buffer), ec);
   if (wouldBlock(ec)) return waitReadable();
   if (ec) return close(Outcome::reset);
   received_.append(buffer.data(), bytes);
