A JSON-RPC reply to a call of an earlier connection matches no call

Cause: the ids of the calls began at 1 on each connection to a worker, so what was left of one connection fitted the next one's calls; found by looking for the class of the incident's bug. Change: ids are unique among all connections of an upstream; a reply with an unknown id ends its connection, as before. Why it works: no id is ever given twice.

Measured: UpstreamTest.ReplyToACallOfAnEarlierConnectionMatchesNoCall (by construction red before: both calls had id 1); the 36 tests of jsonrpc_upstream_test pass. AcceptFailureTest compares errors of the system's category, as sockets give.

--- a/src/jsonrpc/upstream_connection.cpp
+++ b/src/jsonrpc/upstream_connection.cpp
@@ -82,14 +82,14 @@
 
 UpstreamConnection::AddResult UpstreamConnection::add(AttemptKey key, const Call& call,
                                                       const AttemptTimeouts& timeouts) {
-  const std::uint64_t id = ++lastId_;
+  const std::uint64_t id = pool_.nextCallId();
   const std::string text = requestText(id, call, timeouts.response, pool_.parser());
   if (text.empty()) return AddResult::notEncodable;
   PendingCall& added = calls_[id];
   added.key = key;
   added.deadlines = AttemptDeadlines(timeouts, Clock::now());
   added.bytes = unsent_.appendRequest(text);
-  added.isFirst = id == 1;
+  added.isFirst = !std::exchange(hasCarriedCall_, true);
   ids_[key] = id;
   attempts_.add(key, shared_from_this());
   setDeadline(id, added, added.deadlines.unwrittenEnd());
--- a/src/jsonrpc/upstream_pool.hpp
+++ b/src/jsonrpc/upstream_pool.hpp
@@ -70,6 +70,8 @@
   // One has something to send: it is flushed once the events that are due now are handled, so that calls
   // which begin together are written together.
   void flushSoon(ConnectionPtr connection);
+  // Unique among all connections, so that a reply to a call of an earlier connection matches none.
+  std::uint64_t nextCallId() { return ++lastCallId_; }
   // Shared by all, for use within one event.
   Parser& parser() { return parser_; }
   std::vector<char>& readBuffer() { return readBuffer_; }
@@ -85,6 +87,7 @@
   ConnectionCounts& counts_;
   const MakeConnection makeConnection_;
   Endpoints endpoints_;
+  std::uint64_t lastCallId_ = 0;
   Parser parser_;
   std::vector<char> readBuffer_;
   std::vector<ConnectionPtr> toFlush_;  // empty unless flushPosted_
--- a/tests/common/socket_io_test.cpp
+++ b/tests/common/socket_io_test.cpp
@@ -126,7 +126,9 @@
 
 TEST(AcceptFailureTest, ErrorsOfOneConnectionAreToldFromAWantOfDescriptors) {
   namespace errc = boost::system::errc;
-  const auto failureOf = [](errc::errc_t error) { return acceptFailureOf(errc::make_error_code(error)); };
+  const auto failureOf = [](errc::errc_t error) {
+    return acceptFailureOf({error, boost::system::system_category()});
+  };
   EXPECT_EQ(failureOf(errc::resource_unavailable_try_again), AcceptFailure::nonePending);
   for (const auto error :
        {errc::connection_aborted, errc::interrupted, errc::protocol_error, errc::network_down,
--- a/tests/jsonrpc/upstream_test.cpp
+++ b/tests/jsonrpc/upstream_test.cpp
@@ -60,6 +60,26 @@
   }
 }
 
+// A worker that mixes up its connections, or one behind a proxy, answers a call of an earlier connection.
+TEST_F(UpstreamTest, ReplyToACallOfAnEarlierConnectionMatchesNoCall) {
+  limits.streams = 1;
+  json firstId;
+  Worker& worker = addWorker([&](Lines& from, const json& request) {
+    if (firstId.is_null()) {
+      firstId = request["id"];
+      return from.close();
+    }
+    from.say(result(firstId, "of another call"));
+  });
+  make(worker.endpoint);
+  send();
+  ASSERT_TRUE(until([&] { return ends.size() == 1; }));
+  const AttemptKey second = send();
+  ASSERT_TRUE(until([&] { return ends.size() == 2; }));
+  EXPECT_EQ(worker.connections.size(), 2u);
+  EXPECT_EQ(endOf(second), Outcome::reset);
+}
+
 TEST_F(UpstreamTest, NoMoreCallsOnAConnectionThanItsLimit) {
   limits.streams = 3;
   Worker& worker = addWorker(nullptr);
