A second answer of discovery is not taken for the next call's

What operators could see: each list one call late from then on. Cause: the connection was used again whatever had come behind the last answer. Change: it is used again only if nothing is there, neither in the buffer nor at the socket; otherwise the call opens another one. Requests are written through common/socket_io, so short writes don't hang. Why it works: what comes before a request is no answer to it. A second answer that comes while the next call waits is still taken for its answer; that list is older, and the one behind it is dropped with the connection.

Measured: EndpointListCallTest.SecondAnswerIsNotTakenForTheNextCalls, which failed with the check taken out, passes.

--- a/src/discovery/endpoint_list_call.cpp
+++ b/src/discovery/endpoint_list_call.cpp
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "common/socket_io.hpp"
+
 namespace cairnjunction {
 namespace {
 
@@ -44,28 +45,34 @@
 void EndpointListCall::start(const std::string& target, std::chrono::milliseconds connectTimeout,
                              std::chrono::milliseconds callTimeout, ResultCallback onResult) {
   onResult_ = std::move(onResult);
-  request_ = {http::verb::get, target, 11};
-  request_.set(http::field::host, textOf(server_));
+  request_ = "GET " + target + " HTTP/1.1\r\nHost: " + textOf(server_) + "\r\n\r\n";
   parser_.emplace();
   parser_->body_limit(kMaxListBytes);
   const auto now = Clock::now();
   const auto callDeadline = now + callTimeout;
-  if (socket_.is_open()) {
+  if (mayReuseConnection()) {
     setDeadline(callDeadline);
     return write();
   }
+  error_code ignored;
+  socket_.close(ignored);
   buffer_.clear();
   setDeadline(std::min(callDeadline, now + connectTimeout));
   socket_.async_connect(server_, [self = shared_from_this(), callDeadline](error_code ec) {
     if (!self->onResult_) return;
     if (ec) return self->finish(EndpointListFailure::connectionFailed);
-    error_code ignored;
-    self->socket_.set_option(tcp::no_delay(true), ignored);
+    error_code notSet;
+    self->socket_.set_option(tcp::no_delay(true), notSet);
     self->setDeadline(callDeadline);
     self->write();
   });
 }
 
+// What has come since the last response would be taken for the next one.
+bool EndpointListCall::mayReuseConnection() {
+  return socket_.is_open() && buffer_.size() == 0 && peekInput(socket_) == SocketInput::none;
+}
+
 void EndpointListCall::cancel() {
   onResult_ = nullptr;
   deadline_.cancel();
@@ -80,12 +87,13 @@
 }
 
 void EndpointListCall::write() {
-  http::async_write(socket_, request_, [self = shared_from_this()](error_code ec, std::size_t) {
-    if (!self->onResult_) return;
-    if (ec) return self->finish(EndpointListFailure::connectionFailed);
-    http::async_read(self->socket_, self->buffer_, *self->parser_,
-                     [self](error_code readError, std::size_t) { self->onResponse(readError); });
-  });
+  asyncWriteAll(
+      socket_, boost::asio::buffer(request_), [self = shared_from_this()](error_code ec, std::size_t) {
+        if (!self->onResult_) return;
+        if (ec) return self->finish(EndpointListFailure::connectionFailed);
+        http::async_read(self->socket_, self->buffer_, *self->parser_,
+                         [self](error_code readError, std::size_t) { self->onResponse(readError); });
+      });
 }
 
 void EndpointListCall::onResponse(error_code ec) {
--- a/src/discovery/endpoint_list_call.hpp
+++ b/src/discovery/endpoint_list_call.hpp
@@ -5,7 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -52,6 +51,7 @@
 
  private:
   void write();
+  bool mayReuseConnection();
   void onResponse(boost::system::error_code ec);
   void setDeadline(OneShotTimer::Clock::time_point deadline);
   void finish(const Result& result);
@@ -60,7 +60,7 @@
   boost::asio::ip::tcp::socket socket_;
   OneShotTimer deadline_;  // runs while a call is pending
   boost::beast::flat_buffer buffer_;
-  boost::beast::http::request<boost::beast::http::empty_body> request_;
+  std::string request_;
   // Replaced for each call; empty before the first.
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
   ResultCallback onResult_;  // set while a call is pending
--- a/tests/discovery/endpoint_list_call_test.cpp
+++ b/tests/discovery/endpoint_list_call_test.cpp
@@ -53,6 +53,29 @@
   EXPECT_EQ(server.connections.size(), 1u);
 }
 
+// Otherwise each list would be the answer to the call before, from then on.
+TEST_F(EndpointListCallTest, SecondAnswerIsNotTakenForTheNextCalls) {
+  for (const bool inOneWrite : {true, false}) {
+    SCOPED_TRACE(inOneWrite);
+    int version = 0;
+    onRequest = [&](PeerConnection& connection) {
+      ++version;
+      const std::string list = R"({"rev":)" + std::to_string(version) + R"(,"targets":[]})";
+      const std::string text = answerText(200, "", list);
+      connection.reply(version == 1 && inOneWrite ? text + text : text);
+    };
+    run();
+    if (!inOneWrite) {
+      server.connections.back()->reply(answerText(200, "", R"({"rev":1,"targets":[]})"));
+      io.restart();
+      io.run_for(50ms);  // until it has arrived, which nothing tells
+    }
+    const EndpointListResult next = run();
+    ASSERT_TRUE(std::holds_alternative<EndpointList>(next));
+    EXPECT_EQ(std::get<EndpointList>(next).version, 2);
+  }
+}
+
 TEST_F(EndpointListCallTest, ClosesTheConnectionIfTheServerRequestsIt) {
   onRequest = [](PeerConnection& connection) {
     connection.reply(answerText(200, "Connection: close\r\n", R"({"rev":3,"targets":[]})"));
