--- a/src/jsonrpc/upstream_connection.hpp
+++ b/src/jsonrpc/upstream_connection.hpp
@@ -104,7 +104,7 @@
   SendBuffer unsent_;
   std::unordered_map<std::uint64_t, PendingCall> calls_;               // by their id on the wire
   std::unordered_map<AttemptKey, std::uint64_t, AttemptKeyHash> ids_;  // of calls_
-  DeadlineQueue deadlines_;                     // holds PendingCall::nextDeadline of each
+  DeadlineQueue deadlines_;  // holds PendingCall::nextDeadline of each
   bool hasCarriedCall_ = false;
   Clock::time_point connectBy_;                 // once connect() was called
   Clock::time_point idleSince_ = Clock::now();  // the last end of a call, or the opening
