--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -126,6 +126,11 @@
   }
   if (call->attemptsInFlight == 0) return;
   --call->attemptsInFlight;
+  if (outcome.failureReason == policy::FailureReason::unsolicitedBytes)
+    endpointLog_.log(runtime_.now(), "attempt-distrusted request=" + call->call.externalId +
+                                         " attempt=" + std::to_string(outcome.key.attempt) +
+                                         " endpoint=" + balancer_.address(outcome.endpoint) +
+                                         " executed=" + (mayHaveExecuted(outcome.outcome) ? "maybe" : "no"));
   if (mayHaveExecuted(outcome.outcome) && !call->mayHaveExecutedAt)
     call->mayHaveExecutedAt = call->latestAttemptStartedAt;
   calls_.markPossiblyFinished(id);
