idle_connection.hpp includes what its users had from it

Cause: the header had lost the include of tcp.hpp, and its test did not compile. Change: the include is back, and its functions take a TCP socket as before.

--- a/src/upstream/idle_connection.hpp
+++ b/src/upstream/idle_connection.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstddef>
 #include <string_view>
@@ -36,8 +37,7 @@
 };
 
 // Asks the system directly, since the event loop may notice it only later. `socket` must be non-blocking.
-template <class Socket>
-IdleInput idleInputOf(Socket& socket) {
+inline IdleInput idleInputOf(boost::asio::ip::tcp::socket& socket) {
   // A server may close an idle connection with a response 408 (RFC 9110, 15.5.9).
   constexpr std::string_view timeoutResponse11 = "HTTP/1.1 408 ";
   constexpr std::string_view timeoutResponse10 = "HTTP/1.0 408 ";
@@ -54,8 +54,7 @@
 }
 
 // Whether the peer has neither closed an idle connection nor sent unexpected bytes.
-template <class Socket>
-bool isOpenAndSilent(Socket& socket) {
+inline bool isOpenAndSilent(boost::asio::ip::tcp::socket& socket) {
   return peekInput(socket) == SocketInput::none;
 }
 
