--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -35,7 +35,8 @@
   --host "w1 127.0.0.1:${port[7]} brasov"
 start worker build/cairnjunction-worker --port "${port[7]}" --work-least 90 --work-most 160
 for n in 1 2 3; do
-  start "c$n" build/cairnjunction-coordinator "$work/fleet.toml" --number $n --dir "$work/c$n" --log "$work/c$n.log"
+  start "c$n" build/cairnjunction-coordinator "$work/fleet.toml" --number $n --dir "$work/c$n" \
+    --log "$work/c$n.log"
 done
 declare -A gateways
 for n in 1 2; do
@@ -62,9 +63,10 @@
 wait "$client"
 
 note "reports of the member, of $(grep -c '^report' "$work/member.out"):"
-grep '^report' "$work/member.out" | sed 's/ epoch=[0-9]* shard=[0-9]*//' | sort | uniq -c | sed 's/^/  /' >>"$record"
-note "commands of the member that the gateways applied: $(cat "$work"/n?.log | grep '"event":"command-applied"' |
-  grep -c '"from":"m"')"
+grep '^report' "$work/member.out" | sed 's/ epoch=[0-9]* shard=[0-9]*//' | sort | uniq -c |
+  sed 's/^/  /' >>"$record"
+applied=$(cat "$work"/n?.log | grep '"event":"command-applied"' | grep -c '"from":"m"')
+note "commands of the member that the gateways applied: $applied"
 note "answers to the client, by gateway's port:"
 cut -d' ' -f1,2 "$work/client.out" | sort | uniq -c | sed 's/^/  /' >>"$record"
 ended=
@@ -74,6 +76,7 @@
   ended="$ended n$n (exit code $?)"
   note "gateway n$n: $(tail -n1 "$work/n$n.out")"
 done
-[ -z "$ended" ] || verdict 1 "broken: gateways ended:$ended; requests with no answer: $(grep -c ' lost ' "$work/client.out")"
+lost=$(grep -c ' lost ' "$work/client.out")
+[ -z "$ended" ] || verdict 1 "broken: gateways ended:$ended; requests with no answer: $lost"
 grep -q ' 200 ' "$work/client.out" || cant "no request was served"
 verdict 0 "held: both gateways run"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# A client of a named session loses its connection while its call runs, and comes back while the call's answer is
-# held. TROUBLE=0: it comes back at once.
+# A client of a named session loses its connection while its call runs, and comes back while the call's
+# answer is held. TROUBLE=0: it comes back at once.
 source "$(dirname "$0")/../lib.sh"
 mapfile -t port < <(build/review/ports 4)
 [ ${#port[@]} = 4 ] || cant "no ports"
@@ -14,7 +14,8 @@
 {"listen": "127.0.0.1:${port[2]}", "methods": [{"name": "stock-out", "class": "stock-out"}],
  "sessions": {"ttl_s": $ttl}, "workers": {"protocol": "http"}}
 END
-build/cairnjunction check "$work/config.json" --jsonrpc "$work/jsonrpc.json" >>"$record" 2>&1 || cant "settings"
+build/cairnjunction check "$work/config.json" --jsonrpc "$work/jsonrpc.json" >>"$record" 2>&1 ||
+  cant "settings"
 start discovery build/cairnjunction-discovery --listen "127.0.0.1:${port[1]}" \
   --host "w1 127.0.0.1:${port[3]} brasov"
 start worker build/cairnjunction-worker --port "${port[3]}" --work-least $work_ms --work-most $work_ms \
@@ -49,7 +50,8 @@
   began=$(awk -v ref="bundle-$who" '$1 == "ran" && $5 == ref {print $2; exit}' "$work/ran")
   [ -n "$dropped" ] && [ -n "$back" ] && [ -n "$began" ] || cant "the calls of $who were not made"
   held=$((began + work_ms + ttl * 1000)) # the answer is held till then, at the least
-  note "$who: dropped at $dropped, its call answered by the worker at $((began + work_ms)), back at $back, held until $held"
+  note "$who: dropped at $dropped, its call answered by the worker at $((began + work_ms))," \
+    "back at $back, held until $held"
   [ "$back" -lt $((held - 200)) ] || cant "$who was back too late to be judged"
   runs=$(grep -c "^ran .* stock-out bundle-$who\$" "$work/ran")
   [ "$runs" = 1 ] || broken="$broken the call of $who ran $runs times;"
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,8 @@
 # ones of the cases. After the build of the deploy file; adds no dependency to it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmake --build build -j4 --target cairnjunction cairnjunction-coordinator cairnjunction-worker cairnjunction-discovery
+cmake --build build -j4 \
+  --target cairnjunction cairnjunction-coordinator cairnjunction-worker cairnjunction-discovery
 mkdir -p build/review
 for source in review/*.cpp review/[0-9]/*.cpp; do
   [ -e "$source" ] || continue
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -65,4 +65,5 @@
   [[ $status == *" 200 "* ]]
 }
 
-[ -x build/cairnjunction ] && [ -x build/review/ports ] || cant "not built: the deploy file's build, then review/build.sh"
+[ -x build/cairnjunction ] && [ -x build/review/ports ] ||
+  cant "not built: the deploy file's build, then review/build.sh"
