A command's body is parsed into a typed message or rejected whole

Cause: the JSON of a command's body went through the program as it was, and each consumer read it field by field in its own way. FleetProbing threw nlohmann's type_error out of the link's read handler and so out of the event loop; FleetEndpointLists lived by a catch of all exceptions.

Change: app/command_bodies parses a body into ProbeReport or EndpointListMessage, with types, ranges, counts and UTF-8 checked there alone; FleetProbing and FleetEndpointLists are given the typed message. A rejected body is logged once for each lease and epoch (report-invalid, list-invalid) and counted (fleet.orders_invalid). It works since no JSON is left behind that boundary.

--- a/src/app/fleet_endpoint_lists.cpp
+++ b/src/app/fleet_endpoint_lists.cpp
@@ -1,7 +1,6 @@
 #include "app/fleet_endpoint_lists.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "fleet/boot_clock.hpp"
 
@@ -10,7 +9,6 @@
 
 using fleet::bootTime;
 using fleet::Event;
-using nlohmann::json;
 
 lease::LeaseKey listKey() { return {kListTask, 0}; }
 lease::LeaseKey standbyKey() { return {kStandbyTask, 0}; }
@@ -21,9 +19,9 @@
                                        const std::string& name, DiscoveryClient& discovery, Engine& engine,
                                        const boost::asio::ip::tcp::endpoint& source,
                                        const std::optional<EndpointList>& known, bool pushed,
-                                       std::function<void(const EndpointList&)> onList)
+                                       std::function<void(const EndpointList&)> applyList)
     : discovery_(discovery),
-      onList_(std::move(onList)),
+      applyList_(std::move(applyList)),
       log_(settings.log, fleet::EventLog::Role::member, name),
       source_(textOf(source)),
       pushed_(pushed),
@@ -43,10 +41,7 @@
 fleet::Member::Events FleetEndpointLists::memberEvents() {
   fleet::Member::Events events;
   events.onLeaseChange = [this](const lease::LeaseKey& key, bool holds) { onLeaseChange(key, holds); };
-  events.onCommand = [this](const fleet::Command& command) {
-    onCommand(command);
-    if (probing_) probing_->onCommand(command);
-  };
+  events.onCommand = [this](const fleet::Command& command) { onCommand(command); };
   // The leader may be another one than before, which has no list to send to members that join.
   events.onJoined = [this] { sendList(); };
   events.onIsolationChange = [this] { onIsolationChange(); };
@@ -154,34 +149,47 @@
   merge(list);
   if (changed)
     log_.write(Event::listReceived, {{"version", list.version}, {"hosts", held_.endpoints.size()}});
-  onList_(list);
+  applyList_(list);
   if (changed) sendList();
 }
 
 // To all members, as lease holder. The list may also be one that the former holder has sent.
 void FleetEndpointLists::sendList() {
   if (!holdsList() || !filter_.currentVersion()) return;
-  json body = toJson(held_);
-  body["source"] = filter_.currentVersion()->source;
-  body["era"] = filter_.currentVersion()->epoch;
-  if (member_->sendCommand(listKey(), body.dump(), true)) ++sentLists_;
+  const std::string body = encode(EndpointListMessage{held_, *filter_.currentVersion()});
+  if (member_->sendCommand(listKey(), body, true)) ++sentLists_;
 }
 
+// --- Commands of other members
+// --------------------------------------------------------------------------------------------------
+
 void FleetEndpointLists::onCommand(const fleet::Command& command) {
-  if (command.token.key != listKey() || command.token.holder == member_->self()) return;
+  if (command.token.holder == member_->self()) return;
+  const bool isList = command.token.key == listKey();
   try {
-    const json body = json::parse(command.body);
-    EndpointList list = parseEndpointList(body);
-    list.full = true;
-    const fleet::EndpointListVersion version{body.value("source", ""), body.value("era", std::uint64_t{0}),
-                                             list.version};
-    if (filter_.accept(version)) acceptList(command, list);
-    else rejectList(command, list);
-  } catch (const std::exception& bad) {  // of another version of this program; the list that is held stays
-    log_.writeCommand(Event::listInvalid, command.token, {{"why", bad.what()}});
+    if (isList) onList(command, parseEndpointListMessage(command.body));
+    else if (command.token.key.task == kProbeTask) probing_->onReport(parseProbeReport(command.body));
+  } catch (const InvalidCommandBody& invalid) {
+    onInvalidCommand(command, isList ? Event::listInvalid : Event::reportInvalid, invalid);
   }
 }
 
+// The sender is of another version of this program, or faulty. What is known so far stays.
+void FleetEndpointLists::onInvalidCommand(const fleet::Command& command, Event event,
+                                          const InvalidCommandBody& invalid) {
+  ++invalidCommands_;
+  const lease::FencingToken& token = command.token;
+  // A holder that repeats its command is logged once. The keys are bounded by those that the fencing gate
+  // admits.
+  if (std::exchange(loggedInvalidEpochs_[token.key], token.epoch) == token.epoch) return;
+  log_.writeCommand(event, token, {{"why", invalid.what()}});
+}
+
+void FleetEndpointLists::onList(const fleet::Command& command, const EndpointListMessage& message) {
+  if (filter_.accept(message.version)) acceptList(command, message.list);
+  else rejectList(command, message.list);
+}
+
 void FleetEndpointLists::acceptList(const fleet::Command& command, const EndpointList& list) {
   ++acceptedLists_;
   polling_.onListAccepted(member_->isIsolated());
@@ -189,7 +197,7 @@
   log_.writeCommand(Event::listAccepted, command.token,
                     {{"version", list.version}, {"hosts", list.endpoints.size()}});
   if (!pollsDiscovery() && std::exchange(watching_, false)) discovery_.stop();
-  onList_(held_);
+  applyList_(held_);
 }
 
 void FleetEndpointLists::rejectList(const fleet::Command& command, const EndpointList& list) {
@@ -211,7 +219,8 @@
           {"fleet.probes", probing_->probes()},
           {"fleet.lists_taken", acceptedLists_},
           {"fleet.lists_passed_over", rejectedLists_},
-          {"fleet.lists_handed", sentLists_}};
+          {"fleet.lists_handed", sentLists_},
+          {"fleet.orders_invalid", invalidCommands_}};
 }
 
 }  // namespace cairnjunction
--- a/src/app/fleet_endpoint_lists.hpp
+++ b/src/app/fleet_endpoint_lists.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -14,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "app/command_bodies.hpp"
 #include "app/fleet_probing.hpp"
 #include "common/callback_guard.hpp"
 #include "discovery/discovery_client.hpp"
@@ -35,12 +37,12 @@
 
   // `source`: discovery's address, as this gateway is configured. `known`: the endpoints that it has already.
   // `pushed`: lists come from an agent of this gateway's own, which it watches whoever holds the lease.
-  // `onList` is given whole lists, and changes by this gateway's own calls of discovery. `discovery` and
+  // `applyList` is given whole lists, and changes by this gateway's own calls of discovery. `discovery` and
   // `engine` outlive this.
   FleetEndpointLists(boost::asio::io_context& io, const fleet::Settings& settings, const std::string& name,
                      DiscoveryClient& discovery, Engine& engine, const boost::asio::ip::tcp::endpoint& source,
                      const std::optional<EndpointList>& known, bool pushed,
-                     std::function<void(const EndpointList&)> onList);
+                     std::function<void(const EndpointList&)> applyList);
 
   // The load balancer wants lists.
   void subscribe();
@@ -64,6 +66,8 @@
   void onLeaseChange(const lease::LeaseKey& key, bool holds);
   void onIsolationChange();
   void onCommand(const fleet::Command& command);
+  void onInvalidCommand(const fleet::Command& command, fleet::Event event, const InvalidCommandBody& invalid);
+  void onList(const fleet::Command& command, const EndpointListMessage& message);
   void acceptList(const fleet::Command& command, const EndpointList& list);
   void rejectList(const fleet::Command& command, const EndpointList& list);
   void updateWatch();
@@ -73,7 +77,7 @@
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
   DiscoveryClient& discovery_;
-  std::function<void(const EndpointList&)> onList_;
+  std::function<void(const EndpointList&)> applyList_;
   fleet::EventLog log_;
   fleet::EndpointListFilter filter_;
   fleet::FallbackPolling polling_;
@@ -85,7 +89,10 @@
   std::uint64_t acceptedLists_ = 0;              // of other members,
   std::uint64_t rejectedLists_ = 0;              // as older than held_,
   std::uint64_t sentLists_ = 0;                  // and by this one as lease holder
-  boost::asio::steady_timer pollTimer_;          // runs until polling_ begins
+  std::uint64_t invalidCommands_ = 0;            // of other members: not a valid message of their task
+  // By key: the last epoch of which an invalid command was logged.
+  std::map<lease::LeaseKey, lease::Epoch> loggedInvalidEpochs_;
+  boost::asio::steady_timer pollTimer_;  // runs until polling_ begins
   std::mt19937_64 random_{std::random_device{}()};
   std::unique_ptr<fleet::Member> member_;  // never null once constructed
   std::unique_ptr<FleetProbing> probing_;  // refers to member_
--- a/src/app/fleet_probing.cpp
+++ b/src/app/fleet_probing.cpp
@@ -1,7 +1,5 @@
 #include "app/fleet_probing.hpp"
 
-#include <algorithm>
-#include <chrono>
 #include <utility>
 
 #include "fleet/boot_clock.hpp"
@@ -11,7 +9,6 @@
 
 using fleet::bootTime;
 using lease::BootTime;
-using nlohmann::json;
 
 FleetProbing::FleetProbing(boost::asio::io_context& io, Engine& engine, const fleet::Member& member,
                            std::uint32_t shards, SendCommand sendCommand)
@@ -46,7 +43,7 @@
     if (mine || !coordinated) engine_.delegateProbing(endpoint, {});
     if (mine && unreachable.size() < kMaxEndpoints) {
       unreachable[uid] = now;
-      reports[shard].unreachable.push_back(uid);
+      reports[shard].content.unreachable.push_back(uid);
     }
     if (mine || !coordinated) continue;
     const auto before = unreachable_.find(uid);
@@ -86,7 +83,7 @@
     return entry.second.reportsLeft <= 0 || unreachable_.contains(entry.first);
   });
   for (const auto& [uid, recovery] : recoveries_)
-    reports[shardOf(uid)].recovered.push_back({{"uid", uid}, {"age_ms", (now - recovery.at).count()}});
+    reports[shardOf(uid)].content.recovered.push_back({uid, now - recovery.at});
 }
 
 void FleetProbing::send(const Reports& reports, BootTime now) {
@@ -94,32 +91,24 @@
     const auto last = lastReports_.find(shard);
     const bool recent = last != lastReports_.end() && now < last->second + kReportInterval;
     if (recent && !report.urgent) continue;
-    const json body{{"out", report.unreachable}, {"up", report.recovered}};
-    if (!sendCommand_({kProbeTask, shard}, body.dump())) continue;
+    if (!sendCommand_({kProbeTask, shard}, encode(report.content))) continue;
     lastReports_[shard] = now;
-    for (const json& recovered : report.recovered)
-      --recoveries_[recovered["uid"].get<std::string>()].reportsLeft;
+    for (const ProbeReport::Recovery& recovered : report.content.recovered)
+      --recoveries_[recovered.uid].reportsLeft;
   }
 }
 
-void FleetProbing::onCommand(const fleet::Command& command) {
-  if (command.token.key.task != kProbeTask || command.token.holder == member_.self()) return;
-  const json body = json::parse(command.body, nullptr, false);
-  if (!body.is_object()) return;
+void FleetProbing::onReport(const ProbeReport& report) {
   const BootTime now = bootTime();
-  for (const json& uid : body.value("out", json::array()))
-    if (uid.is_string() && reportedUnreachable_.size() < kMaxEndpoints)
-      reportedUnreachable_[uid.get<std::string>()] = now;
-  for (const json& recovered : body.value("up", json::array())) onReportedRecovery(recovered);
+  for (const std::string& uid : report.unreachable)
+    if (reportedUnreachable_.size() < kMaxEndpoints) reportedUnreachable_[uid] = now;
+  for (const ProbeReport::Recovery& recovery : report.recovered) onReportedRecovery(recovery);
 }
 
-void FleetProbing::onReportedRecovery(const json& recovered) {
-  if (!recovered.is_object() || !recovered.contains("uid") || !recovered["uid"].is_string()) return;
-  const std::string uid = recovered["uid"].get<std::string>();
-  const std::chrono::milliseconds age(std::max<std::int64_t>(recovered.value("age_ms", std::int64_t{0}), 0));
-  reportedUnreachable_.erase(uid);
-  const policy::EndpointId endpoint = engine_.findEndpoint(uid);
-  if (endpoint != policy::kNone) engine_.onRemoteProbeResult(endpoint, age);
+void FleetProbing::onReportedRecovery(const ProbeReport::Recovery& recovery) {
+  reportedUnreachable_.erase(recovery.uid);
+  const policy::EndpointId endpoint = engine_.findEndpoint(recovery.uid);
+  if (endpoint != policy::kNone) engine_.onRemoteProbeResult(endpoint, recovery.age);
 }
 
 }  // namespace cairnjunction
--- a/src/app/fleet_probing.hpp
+++ b/src/app/fleet_probing.hpp
@@ -8,9 +8,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <string>
 
+#include "app/command_bodies.hpp"
 #include "common/callback_guard.hpp"
 #include "core/engine.hpp"
 #include "fleet/member.hpp"
@@ -29,7 +29,7 @@
   // and after a report for so long.
   static constexpr lease::Duration kReportValidity{2500};
   static constexpr int kRecoveryReports = 3;  // a recovery is reported so often: a link may lose a command
-  static constexpr std::size_t kMaxEndpoints = 4096;  // reported, over all shards
+  static constexpr std::size_t kMaxEndpoints = kMaxReportedEndpoints;  // over all shards
 
   // Sends a command as holder of the key's lease; false: it does not hold it, or is not connected.
   using SendCommand = std::function<bool(const lease::LeaseKey&, std::string body)>;
@@ -38,9 +38,8 @@
   FleetProbing(boost::asio::io_context& io, Engine& engine, const fleet::Member& member, std::uint32_t shards,
                SendCommand sendCommand);
 
-  // A command that the fleet's member has received; ignored unless it is of this task and from another
-  // member.
-  void onCommand(const fleet::Command& command);
+  // A report of another member, which holds the lease of the shard.
+  void onReport(const ProbeReport& report);
   // How often an endpoint was left to another gateway, counted at each update.
   std::uint64_t leftToOthers() const { return leftToOthers_; }
   // By this gateway.
@@ -49,8 +48,7 @@
  private:
   // What is said of one shard.
   struct Report {
-    nlohmann::json unreachable = nlohmann::json::array();
-    nlohmann::json recovered = nlohmann::json::array();
+    ProbeReport content;
     bool urgent = false;  // a recovery is new
   };
   using Reports = std::map<std::uint32_t, Report>;  // by shard
@@ -69,7 +67,7 @@
   void send(const Reports& reports, lease::BootTime now);
   bool holdsShard(std::uint32_t shard) const { return member_.holds({kProbeTask, shard}); }
   std::uint32_t shardOf(const std::string& uid) const;
-  void onReportedRecovery(const nlohmann::json& recovered);
+  void onReportedRecovery(const ProbeReport::Recovery& recovery);
 
   boost::asio::steady_timer timer_;
   Engine& engine_;
--- a/src/fleet/event_names.hpp
+++ b/src/fleet/event_names.hpp
@@ -23,7 +23,8 @@
   listReceived,       // endpoint list from the member's own call of discovery
   listAccepted,       // endpoint list from the lease holder
   listRejected,       // endpoint list from the lease holder that is older than the current one
-  listInvalid,        // endpoint list from the lease holder that can't be parsed
+  listInvalid,        // endpoint list from the lease holder that can't be parsed; logged once per epoch
+  reportInvalid,      // probe report from the shard's lease holder, likewise
   // Logged by coordinators:
   leadershipAcquired,
   leadershipLost,
@@ -60,6 +61,7 @@
     case Event::listAccepted: return "list-accepted";
     case Event::listRejected: return "list-rejected";
     case Event::listInvalid: return "list-invalid";
+    case Event::reportInvalid: return "report-invalid";
     case Event::leadershipAcquired: return "leadership-acquired";
     case Event::leadershipLost: return "leadership-lost";
     case Event::memberJoined: return "member-joined";
