A session lasts while a call of it runs or an answer of it is held

Cause: SessionTable::expire ended a detached session ttl after the drop and dropped all of its entries with it, whatever their own time was, also those that still ran.

On the code before ASessionLastsAsLongAsTheLastAnswerIsHeld, ASessionLastsAsLongAsACallRuns, ASessionWhoseLastCallIsRefusedLateIsForgotten and the wider NeverASecondRunWithinTheTimeToLive fail.

Change: a detached session ends once its time is over and it has no entry; an entry ends by its own time alone, and the last one makes the session's end due again. So an id is first only if its result is held no more.

The model test forgot what it knew when a session was opened anew; it now demands that nothing was open or held then.

--- a/src/jsonrpc/session_table.cpp
+++ b/src/jsonrpc/session_table.cpp
@@ -75,15 +75,17 @@
 }
 
 void SessionTable::neverRan(Id id, const std::string& key) {
-  if (const auto it = sessions_.find(id); it != sessions_.end()) drop(it->second, key);
+  if (const auto it = sessions_.find(id); it != sessions_.end()) drop(id, it->second, key);
 }
 
-void SessionTable::drop(Session& session, const std::string& key) {
+void SessionTable::drop(Id id, Session& session, const std::string& key) {
   const auto entry = session.entries.find(key);
   if (entry == session.entries.end()) return;
   bytes_ -= kEntryCost + key.size() + entry->second.answer.json.size();
   --entries_;
   session.entries.erase(entry);
+  // Its entries have outlived the session's own time, so its end is due again.
+  if (session.entries.empty() && !session.attached) due_.push({session.touched + limits_.ttl, id, {}});
 }
 
 void SessionTable::expire(Time now) {
@@ -92,21 +94,27 @@
     due_.pop();
     const auto it = sessions_.find(due.session);
     if (it == sessions_.end()) continue;
-    Session& session = it->second;
-    if (!due.key.empty()) {
-      const Entry* entry = find(due.session, due.key);
-      if (!entry || !entry->done) continue;
-      const Time real = std::max(entry->due, session.touched + limits_.ttl);
-      if (real > now) due_.push({real, due.session, std::move(due.key)});
-      else drop(session, due.key);
-      continue;
-    }
-    // Only the last detach counts, and none if the session was resumed since.
-    if (session.attached || session.touched + limits_.ttl > now) continue;
-    while (!session.entries.empty()) drop(session, std::string(session.entries.begin()->first));
-    byName_.erase(session.name);
-    sessions_.erase(it);
+    if (due.key.empty()) expireSession(now, due.session, it->second);
+    else expireEntry(now, std::move(due), it->second);
   }
 }
 
+void SessionTable::expireEntry(Time now, Due due, Session& session) {
+  const Entry* entry = find(due.session, due.key);
+  if (!entry || !entry->done) return;
+  const Time heldUntil = std::max(entry->due, session.touched + limits_.ttl);
+  if (heldUntil <= now) return drop(due.session, session, due.key);
+  due.at = heldUntil;
+  due_.push(std::move(due));
+}
+
+// Only the last detach counts, and none if the session was resumed since. A session outlives its calls:
+// without it a repeat of one that runs, or whose result is held, would run a second time.
+void SessionTable::expireSession(Time now, Id id, const Session& session) {
+  const bool inUse = session.attached || !session.entries.empty();
+  if (inUse || session.touched + limits_.ttl > now) return;
+  byName_.erase(session.name);
+  sessions_.erase(id);
+}
+
 }  // namespace cairnjunction::jsonrpc
--- a/src/jsonrpc/session_table.hpp
+++ b/src/jsonrpc/session_table.hpp
@@ -2,8 +2,9 @@
 // its first run and never runs again. Decides only: no I/O, no clock.
 //
 // A session is attached while a connection uses it. A result is kept for `ttl` after it was set, and at least
-// until `ttl` after the session was last attached or detached. A detached session is removed with all its
-// results `ttl` after it was detached; resuming it then fails with Opened::notHeld.
+// until `ttl` after the session was last attached or detached. A detached session is removed `ttl` after it
+// was detached, but not before its last call has ended and the last result has expired; resuming it then
+// fails with Opened::notHeld.
 #pragma once
 
 #include <cstddef>
@@ -93,12 +94,15 @@
   };
 
   Entry* find(Id id, const std::string& key);
-  void drop(Session& session, const std::string& key);
+  void drop(Id id, Session& session, const std::string& key);
+  void expireEntry(Time now, Due due, Session& session);
+  void expireSession(Time now, Id id, const Session& session);
 
   Limits limits_;
   std::unordered_map<Id, Session> sessions_;
   std::unordered_map<std::string, Id> byName_;
-  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;  // one for each finished entry or detach
+  std::priority_queue<Due, std::vector<Due>, std::greater<>>
+      due_;  // of finished entries and detached sessions
   std::size_t entries_ = 0, bytes_ = 0;
   Id last_ = 0;
 };
--- a/tests/jsonrpc/session_table_test.cpp
+++ b/tests/jsonrpc/session_table_test.cpp
@@ -56,18 +56,76 @@
   SessionTable::Id id = 0;
   table.open(Time(0s), "yard", false, id);
   table.begin(Time(0s), id, "n1", 5, 1);
+  table.answered(Time(1s), id, "n1", {false, "1"});
   table.detach(Time(1s), id);
   table.open(Time(30s), "yard", false, id);
   table.detach(Time(40s), id);
   table.expire(Time(99s));
   EXPECT_EQ(table.sessions(), 1u) << "the last drop counts";
   EXPECT_EQ(table.open(Time(100s), "yard", true, id), Opened::notHeld);
+  EXPECT_EQ(table.sessions(), 0u);
   EXPECT_EQ(table.entries(), 0u);
   EXPECT_EQ(table.bytes(), 0u);
-  table.answered(Time(101s), id, "n1", {false, "late"});  // its run ends later than the session: for nobody
+  table.answered(Time(101s), id, "n1", {false, "late"});  // of a session that is no more
   EXPECT_EQ(table.bytes(), 0u);
 }
 
+// Guards against a stock-out that ran twice (docs/incidents/session-ended-before-its-answers.md): its session
+// ended a time to live after the drop, though the answer came later and was to be held for as long from
+// there.
+TEST(SessionTable, ASessionLastsAsLongAsTheLastAnswerIsHeld) {
+  for (const bool resume : {false, true}) {
+    SessionTable table(limits());
+    SessionTable::Id id = 0, again = 0;
+    table.open(Time(0s), "yard", false, id);
+    table.begin(Time(0s), id, "n1", 5, 1);
+    table.begin(Time(0s), id, "n2", 5, 2);
+    table.detach(Time(1s), id);
+    table.answered(Time(2s), id, "n1", {false, "1"});
+    table.answered(Time(3s), id, "n2", {false, "2"});
+    table.expire(Time(62500ms));
+    EXPECT_EQ(table.entries(), 1u) << "the first one's time is over";
+    ASSERT_EQ(table.open(Time(62900ms), "yard", resume, again), Opened::resumed);
+    EXPECT_EQ(again, id);
+    EXPECT_EQ(table.begin(Time(62900ms), id, "n2", 5, 3).begun, Begun::answered);
+  }
+}
+
+// Guards against the same second run where the first one has not ended: a repeat joins it, however long ago
+// the drop was. Once nothing is open or held, the session ends.
+TEST(SessionTable, ASessionLastsAsLongAsACallRuns) {
+  SessionTable table(limits());
+  SessionTable::Id id = 0, again = 0;
+  table.open(Time(0s), "yard", false, id);
+  table.begin(Time(0s), id, "n1", 5, 77);
+  table.detach(Time(1s), id);
+  table.expire(Time(500s));
+  ASSERT_EQ(table.open(Time(500s), "yard", true, again), Opened::resumed);
+  const auto joined = table.begin(Time(500s), again, "n1", 5, 78);
+  EXPECT_EQ(joined.begun, Begun::running);
+  EXPECT_EQ(joined.ticket, 77u);
+  table.detach(Time(501s), id);
+  table.answered(Time(600s), id, "n1", {false, "1"});
+  table.expire(Time(659s));
+  EXPECT_EQ(table.sessions(), 1u);
+  table.expire(Time(660s));
+  EXPECT_EQ(table.sessions(), 0u);
+  EXPECT_EQ(table.bytes(), 0u);
+}
+
+TEST(SessionTable, ASessionWhoseLastCallIsRefusedLateIsForgotten) {
+  SessionTable table(limits());
+  SessionTable::Id id = 0;
+  table.open(Time(0s), "yard", false, id);
+  table.begin(Time(0s), id, "n1", 5, 1);
+  table.detach(Time(1s), id);
+  table.expire(Time(70s));
+  EXPECT_EQ(table.sessions(), 1u);
+  table.neverRan(id, "n1");
+  table.expire(Time(70s));
+  EXPECT_EQ(table.sessions(), 0u);
+}
+
 TEST(SessionTable, FullItTakesNothingMoreAndDropsNothing) {
   SessionTable::Limits l = limits();
   l.sessions = 2;
@@ -101,8 +159,8 @@
   EXPECT_EQ(table.begin(Time(61s), id, "n2", 1, 4).begun, Begun::first);
 }
 
-// Against a simple model: an id that was begun and answered less than a time to live ago is never first
-// again.
+// Against a simple model, with clients that stay away for long: a call that runs, or was answered less than a
+// time to live ago, is never first again, and its session is never a fresh one.
 TEST(SessionTable, NeverASecondRunWithinTheTimeToLive) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     std::mt19937_64 random(seed);
@@ -112,41 +170,50 @@
     Time now{};
     std::map<std::string, Time> heldUntil;  // by session and id
     std::map<std::string, bool> running;
-    std::map<int, SessionTable::Id> attached;
+    std::map<int, SessionTable::Id> ids;
+    std::map<int, Time> awayUntil;  // of clients that are not attached
+    for (int who = 0; who < 3; ++who) awayUntil[who] = now;
+    const auto isOf = [](int who, const auto& entry) { return entry.first[0] == '0' + who; };
     for (int i = 0; i < 4000; ++i) {
       now += std::chrono::milliseconds(random() % 900);
       const int who = static_cast<int>(random() % 3);
-      const std::string name = "session" + std::to_string(who);
-      if (!attached.count(who)) {
+      const std::string key = "n" + std::to_string(random() % 12), mine = std::to_string(who) + key;
+      const std::uint64_t step = random() % 4;
+      if (step == 1 && running[mine]) {  // calls go on while their client is away
+        table.answered(now, ids[who], key, {false, "1"});
+        running[mine] = false;
+        heldUntil[mine] = now + 60s;
+        continue;
+      }
+      if (awayUntil.count(who)) {
+        if (awayUntil[who] > now) {
+          table.expire(now);
+          continue;
+        }
         SessionTable::Id id = 0;
-        const Opened opened = table.open(now, name, false, id);
+        const Opened opened = table.open(now, "session" + std::to_string(who), false, id);
         ASSERT_NE(opened, Opened::full);
-        attached[who] = id;
-        if (opened == Opened::fresh)
-          for (auto* map : {&running})
-            std::erase_if(*map, [&](const auto& e) { return e.first[0] == '0' + who; });
+        if (opened == Opened::fresh) {
+          for (const auto& entry : running) EXPECT_FALSE(isOf(who, entry) && entry.second) << entry.first;
+          for (const auto& entry : heldUntil)
+            EXPECT_FALSE(isOf(who, entry) && entry.second > now) << entry.first;
+        }
+        ids[who] = id;
+        awayUntil.erase(who);
         continue;
       }
-      const std::string key = "n" + std::to_string(random() % 12), mine = std::to_string(who) + key;
-      switch (random() % 4) {
+      switch (step) {
         case 0: {
-          const auto begun = table.begin(now, attached[who], key, 1, 1).begun;
+          const auto begun = table.begin(now, ids[who], key, 1, 1).begun;
           if (running[mine]) EXPECT_EQ(begun, Begun::running);
           else if (heldUntil.count(mine) && heldUntil[mine] > now) EXPECT_EQ(begun, Begun::answered) << mine;
           if (begun == Begun::first) running[mine] = true;
           break;
         }
-        case 1:
-          if (running[mine]) {
-            table.answered(now, attached[who], key, {false, "1"});
-            running[mine] = false;
-            heldUntil[mine] = now + 60s;
-          }
-          break;
         case 2:
           if (random() % 8 == 0) {
-            table.detach(now, attached[who]);
-            attached.erase(who);
+            table.detach(now, ids[who]);
+            awayUntil[who] = now + std::chrono::seconds(random() % 100);
           }
           break;
         case 3: table.expire(now);
