Numbers of an endpoint list that do not fit are rejected

A list of discovery, or of the list's holder, with a start time in nanoseconds, a float beyond 64 bits or an unsigned number above 63 bits was taken with another number in its place.

Cause: the fields were converted by get<int64_t>, which wraps an unsigned number and leaves a float out of range undefined; a start time in milliseconds was then multiplied to nanoseconds without a bound.

Evidence: on the code before, the new rows of ErrorNamesTheFieldTheExpectedAndTheFoundValue (two of boot_ms, one of pod_group) and of DocumentWithMissingOrInvalidFieldsIsRejected (three) were accepted.

Change: the list is read by JsonObjectReader, as the bodies of commands are, which bounds integers by range; targets must be an array. The reader that endpoint_list.cpp had of its own is gone.

--- a/src/discovery/endpoint_list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -3,11 +3,12 @@
 #include <array>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
-#include <cstddef>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
+#include "common/json_object_reader.hpp"
 #include "discovery/wire_names.hpp"
 
 namespace cairnjunction {
@@ -36,77 +37,46 @@
   return wire::kDeleted;
 }
 
-// The text of a value in an error message. Arrays and objects may be of any size, so only their type is
-// given.
-std::string describe(const json& value) {
-  if (value.is_structured()) return value.type_name();
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-std::string describe(const json& object, const char* field) {
-  if (!object.is_object()) return describe(object);
-  const auto it = object.find(field);
-  return it == object.end() ? "nothing" : describe(*it);
-}
-
-// Reads the fields of the JSON object at `path` of a document. Its methods throw EndpointListError for a
-// field that is missing or has the wrong type.
-class ObjectReader {
- public:
-  ObjectReader(const json& object, std::string path) : object_(object), path_(std::move(path)) {}
-
-  template <class Value>
-  Value requiredField(const char* field, const char* expected) const {
-    try {
-      return object_.at(field).get<Value>();
-    } catch (const json::exception&) {
-      throw error(field, expected);
-    }
-  }
-
-  template <class Value>
-  Value optionalField(const char* field, const Value& defaultValue, const char* expected) const {
-    try {
-      return object_.value(field, defaultValue);
-    } catch (const json::exception&) {
-      throw error(field, expected);
-    }
-  }
-
-  EndpointListError error(const char* field, const char* expected) const {
-    return {path_.empty() ? field : path_ + "." + field, expected, describe(object_, field)};
-  }
-
- private:
-  const json& object_;
-  std::string path_;  // empty: the document itself
-};
+// A start time in milliseconds beyond this does not fit into the nanoseconds of the load balancer's clock.
+constexpr std::int64_t kMaxBootMs =
+    std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::nanoseconds::max()).count() / 2;
 
 DiscoveredEndpoint parseDiscoveredEndpoint(const json& object, const std::string& path) {
-  const ObjectReader reader(object, path);
+  const JsonObjectReader reader(object, path);
   DiscoveredEndpoint result;
-  result.uid = reader.requiredField<std::string>(wire::kUid, "a text");
-  if (result.uid.empty()) throw reader.error(wire::kUid, "a text that is not empty");
-  const auto state = parseState(reader.requiredField<std::string>(wire::kState, "a text"));
+  result.uid = reader.nonEmptyText(wire::kUid);
+  const auto state = parseState(reader.text(wire::kState));
   if (!state) throw reader.error(wire::kState, "SERVING, DRAINING or DELETED");
   result.state = *state;
   // An endpoint that no longer exists needs no address.
-  if (result.state != DiscoveredState::gone || object.contains(wire::kAddress)) {
-    const auto address = reader.requiredField<std::string>(wire::kAddress, "a text");
+  if (result.state != DiscoveredState::gone || reader.has(wire::kAddress)) {
+    const auto address = reader.text(wire::kAddress);
     try {
       result.endpoint = parseEndpoint(address);
     } catch (const std::invalid_argument&) {
       throw reader.error(wire::kAddress, "address:port");
     }
   }
-  result.zone = reader.optionalField(wire::kZone, std::string(), "a text");
-  result.machineKind = reader.optionalField(wire::kMachineKind, std::string(), "a text");
-  result.cell = reader.optionalField(wire::kCell, std::int64_t{0}, "a number");
-  result.weight = reader.optionalField(wire::kWeight, 1.0, "a number");
-  result.bootMs = reader.optionalField(wire::kBootMs, std::int64_t{0}, "a number");
+  result.zone = reader.text(wire::kZone, "");
+  result.machineKind = reader.text(wire::kMachineKind, "");
+  result.cell = reader.integer(wire::kCell, {}, 0);
+  result.weight = reader.number(wire::kWeight, 1.0);
+  result.bootMs = reader.integer(wire::kBootMs, {-kMaxBootMs, kMaxBootMs}, 0);
   return result;
 }
 
+EndpointList parseList(const json& document) {
+  const JsonObjectReader reader(document, "");
+  EndpointList list;
+  list.version = reader.integer(wire::kVersion, {});
+  list.full = reader.flag(wire::kFull, false);
+  for (const auto& object : reader.array(wire::kEndpoints)) {
+    const std::string path = reader.pathOfEntry(wire::kEndpoints, list.endpoints.size());
+    list.endpoints.push_back(parseDiscoveredEndpoint(object, path));
+  }
+  return list;
+}
+
 json toJson(const DiscoveredEndpoint& endpoint) {
   return {{wire::kUid, endpoint.uid},       {wire::kAddress, textOf(endpoint.endpoint)},
           {wire::kZone, endpoint.zone},     {wire::kMachineKind, endpoint.machineKind},
@@ -116,25 +86,15 @@
 
 }  // namespace
 
-EndpointListError::EndpointListError(std::string field, std::string expected, std::string found)
-    : std::invalid_argument("host list: " + (field.empty() ? "" : field + ": ") + "expected " + expected +
-                            ", found " + found),
-      field_(std::move(field)),
-      expected_(std::move(expected)),
-      found_(std::move(found)) {}
+EndpointListError::EndpointListError(const JsonFieldError& error)
+    : std::invalid_argument(std::string("host list: ") + error.what()), error_(error) {}
 
 EndpointList parseEndpointList(const json& document) {
-  const ObjectReader reader(document, "");
-  EndpointList list;
-  list.version = reader.requiredField<std::int64_t>(wire::kVersion, "a number");
-  list.full = reader.optionalField(wire::kFull, false, "true or false");
-  if (!document.contains(wire::kEndpoints)) throw reader.error(wire::kEndpoints, "an array");
-  for (const auto& object : document.at(wire::kEndpoints)) {
-    const std::string path =
-        std::string(wire::kEndpoints) + "[" + std::to_string(list.endpoints.size()) + "]";
-    list.endpoints.push_back(parseDiscoveredEndpoint(object, path));
+  try {
+    return parseList(document);
+  } catch (const JsonFieldError& error) {
+    throw EndpointListError(error);
   }
-  return list;
 }
 
 nlohmann::json toJson(const EndpointList& list) {
--- a/src/discovery/endpoint_list.hpp
+++ b/src/discovery/endpoint_list.hpp
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "common/json_field_error.hpp"
+
 namespace cairnjunction {
 
 enum class DiscoveredState {
@@ -37,16 +39,14 @@
 // A list that cannot be parsed: the field, what was expected there, and what was found.
 class EndpointListError : public std::invalid_argument {
  public:
-  EndpointListError(std::string field, std::string expected, std::string found);
+  explicit EndpointListError(const JsonFieldError& error);
 
-  const std::string& field() const { return field_; }  // "targets[2].state"; empty: the document itself
-  const std::string& expected() const { return expected_; }
-  const std::string& found() const { return found_; }
+  const std::string& field() const { return error_.field(); }  // "targets[2].state"; empty: the document
+  const std::string& expected() const { return error_.expected(); }
+  const std::string& found() const { return error_.found(); }
 
  private:
-  std::string field_;
-  std::string expected_;
-  std::string found_;
+  JsonFieldError error_;
 };
 
 // Parses discovery's format; unknown fields are ignored. Throws EndpointListError.
--- a/tests/discovery/endpoint_list_test.cpp
+++ b/tests/discovery/endpoint_list_test.cpp
@@ -78,6 +78,9 @@
   }
 }
 
+constexpr const char* kBootRange = "a number from -4611686018427 to 4611686018427";  // ms, as nanoseconds
+constexpr const char* kCellRange = "a number from -9223372036854775808 to 9223372036854775807";
+
 struct InvalidField {
   const char* field;
   json value;
@@ -85,7 +88,9 @@
   const char* found;
 };
 
-// Each field in turn has an invalid value. The error names the field, the expected value and the value found.
+// Guards against numbers out of range that were taken as others (docs/incidents/nonsense-report.md): a start
+// time in nanoseconds wrapped around to one in the future, so that the endpoint stayed in slow start. Each
+// field in turn has an invalid value. The error names the field, the expected value and the value found.
 TEST(EndpointListTest, ErrorNamesTheFieldTheExpectedAndTheFoundValue) {
   const std::vector<InvalidField> invalidValues = {
       {"uid", "", "a text that is not empty", "\"\""},
@@ -94,7 +99,11 @@
       {"endpoint", "10.0.0.1", "address:port", "\"10.0.0.1\""},
       {"az", json::array(), "a text", "array"},
       {"capacity_hint", "much", "a number", "\"much\""},
-      {"boot_ms", json::object(), "a number", "object"}};
+      {"boot_ms", json::object(), "a number", "object"},
+      {"boot_ms", 1e300, kBootRange, "1e+300"},
+      {"boot_ms", 1'764'855'861'000'000'000, kBootRange, "1764855861000000000"},
+      {"pod_group", 18446744073709551615U, kCellRange, "18446744073709551615"},
+      {"pod_group", true, "a number", "true"}};
   for (const InvalidField& invalid : invalidValues) {
     json endpoint = entry();
     endpoint[invalid.field] = invalid.value;
@@ -114,7 +123,10 @@
 TEST(EndpointListTest, DocumentWithMissingOrInvalidFieldsIsRejected) {
   for (const json& invalid : {json::array(), json(5), json(nullptr), json::object(), json{{"rev", 1}},
                               json{{"targets", json::array()}}, json{{"rev", 1}, {"targets", 5}},
-                              json{{"rev", 1}, {"all", "yes"}, {"targets", json::array()}}})
+                              json{{"rev", 1}, {"all", "yes"}, {"targets", json::array()}},
+                              json{{"rev", 1e19}, {"targets", json::array()}},
+                              json{{"rev", 18446744073709551615U}, {"targets", json::array()}},
+                              json{{"rev", 1}, {"targets", {{"uid", entry()}}}}})
     EXPECT_TRUE(isRejected(invalid)) << invalid;
 }
 
