Values of a frame that can't be stored or computed with are rejected

A member whose name is not UTF-8 was admitted, and the leading coordinator ended when an operator asked for its status. A coordinator that was sent a voter's mark above 63 bits stored it, and could not start again.

Cause: the decoder checked types and counts only. Names went into JSON and into the coordinators' log, marks into TOML's signed integers, boot times and lease durations into sums, whatever they were.

Change: message_validation checks each decoded message: texts are UTF-8 and bounded by what the log reads, marks fit their file, clocks and durations lie in range. A bad frame of a peer that has not joined is logged (join-rejected).

--- a/src/fleet/coordinator.cpp
+++ b/src/fleet/coordinator.cpp
@@ -129,8 +129,11 @@
 
 void Coordinator::onLinkEnd(const PeerConnectionPtr& connection, LinkEnd end, const std::string& detail) {
   if (connections_.remove(connection))
-    events_.write(Event::memberLinkEnded,
-                  {{"name", connection->member.name}, {"end", nameOf(end)}, {"why", detail}});
+    return events_.write(Event::memberLinkEnded,
+                         {{"name", connection->member.name}, {"end", nameOf(end)}, {"why", detail}});
+  if (end != LinkEnd::badFrame) return;
+  ++rejectedPeers_;
+  events_.write(Event::joinRejected, {{"name", connection->member.name}, {"why", detail}});
 }
 
 void Coordinator::reject(const PeerConnectionPtr& connection, const std::string& reason) {
--- a/src/fleet/frame.cpp
+++ b/src/fleet/frame.cpp
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "fleet/message_validation.hpp"
+
 namespace cairnjunction::fleet {
 namespace {
 
@@ -206,7 +208,9 @@
     const msgpack::object& object = handle.get();
     if (end != payload.size() || object.type != msgpack::type::ARRAY || object.via.array.size != 2)
       throw BadFrame("a frame that is no pair of kind and values");
-    return decodeKind(object.via.array.ptr[0].as<std::uint32_t>(), object.via.array.ptr[1]);
+    Message message = decodeKind(object.via.array.ptr[0].as<std::uint32_t>(), object.via.array.ptr[1]);
+    validate(message);
+    return message;
   } catch (const msgpack::unpack_error& bad) {
     throw BadFrame(std::string("a frame that is not valid MessagePack: ") + bad.what());
   } catch (const msgpack::type_error& bad) {
--- /dev/null
+++ b/src/fleet/message_validation.hpp
@@ -0,0 +1,20 @@
+// Checks the values of a decoded message that the wire's types do not bound: texts, clocks and numbers that
+// are stored or computed with.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+#include "fleet/messages.hpp"
+
+namespace cairnjunction::fleet {
+
+// Names and reasons. The coordinators' log reads no longer text, and JSON holds UTF-8 only.
+inline constexpr std::size_t kMaxTextBytes = 4096;
+// Of a machine's boot clock.
+inline constexpr lease::Duration kMaxBootTime = std::chrono::hours(24 * 365 * 100);
+
+// Throws BadFrame that names the value.
+void validate(const Message& message);
+
+}  // namespace cairnjunction::fleet
--- a/tests/fleet/coordinators_test.cpp
+++ b/tests/fleet/coordinators_test.cpp
@@ -14,6 +14,22 @@
 
 namespace files = std::filesystem;
 
+// A peer whose first message is the test's, valid or not.
+struct RawPeer {
+  std::optional<fleet::LinkEnd> end;
+  int responses = 0;
+  std::shared_ptr<fleet::Link> link;
+
+  RawPeer(asio::io_context& io, const tcp::endpoint& coordinator, const fleet::Message& message)
+      : link(fleet::Link::dial(
+            io, coordinator, {},
+            {[this, message] { link->send(message); }, [this](const fleet::Message&) { ++responses; },
+             [this](fleet::LinkEnd reason, const std::string&) { end = reason; }})) {}
+  ~RawPeer() { link->abandon(); }
+  RawPeer(const RawPeer&) = delete;
+  RawPeer& operator=(const RawPeer&) = delete;
+};
+
 TEST_F(FleetTest, OneHolderSendsCommandsToAllMembersAndIsSucceededWhenItEnds) {
   startCoordinators();
   for (const char* name : {"a", "b", "c"}) join(name);
@@ -315,6 +331,33 @@
   EXPECT_TRUE(members["a"]->hasJoined());
 }
 
+// Guards against a member whose name is not UTF-8 (docs/incidents/nonsense-report.md): it was admitted, and
+// the leader ended when an operator asked for its status.
+TEST_F(FleetTest, ANameThatIsNotTextEndsNoCoordinator) {
+  startCoordinators();
+  ASSERT_TRUE(until([&] { return leader() != 0; }));
+  const int number = leader();
+  const RawPeer peer(io, address(number), fleet::JoinRequest{1, "yard", {"m\xff\xfe", 7}, "", true});
+  ASSERT_TRUE(until([&] { return peer.end || peer.responses > 0; }));
+  EXPECT_EQ(leader(), number) << "it answers and leads";
+  EXPECT_NE(text(folder(number) + ".log").find("a member that is not UTF-8"), std::string::npos);
+  EXPECT_EQ(coordinators[number]->end(SIGTERM), 0);
+}
+
+// Guards against a mark that the file of a coordinator's identity can't hold
+// (docs/incidents/nonsense-report.md): it was stored, and the coordinator could not start again.
+TEST_F(FleetTest, ACoordinatorStartsAgainAfterAMarkOutOfRange) {
+  startCoordinator(1);
+  const auto isRunning = [&] { return text(folder(1) + ".err").empty() && answers(1); };
+  ASSERT_TRUE(until(isRunning));
+  const RawPeer peer(io, address(1), fleet::VoterHandshakeRequest{1, "yard", 3, {1ULL << 63, 1}});
+  ASSERT_TRUE(until([&] { return peer.end.has_value(); }));
+  EXPECT_EQ(peer.responses, 0);
+  EXPECT_EQ(coordinators[1]->end(SIGTERM), 0);
+  startCoordinator(1);
+  EXPECT_TRUE(until(isRunning)) << text(folder(1) + ".err");
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
 
--- a/tests/fleet/fleet_processes.hpp
+++ b/tests/fleet/fleet_processes.hpp
@@ -141,6 +141,16 @@
       if (observed.at(name).leases.count(key) && member->holds(key)) return name;
     return {};
   }
+  tcp::endpoint address(int number) const { return loopback(ports[static_cast<std::size_t>(number - 1)]); }
+  // Whether the coordinator answers at its admin socket. Blocks.
+  bool answers(int number) const {
+    try {
+      fleet::queryAdminSocket(folder(number) + "/control.sock", {{"ask", "status"}});
+      return true;
+    } catch (const std::runtime_error&) {
+      return false;
+    }
+  }
   // Number of the coordinator that leads; 0 if there is none. Blocks on the admin sockets.
   int leader() const {
     for (const auto& [number, coordinator] : coordinators) try {
--- a/tests/fleet/frame_test.cpp
+++ b/tests/fleet/frame_test.cpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <random>
 
+#include "fleet/message_validation.hpp"
+
 namespace cairnjunction::testing {
 namespace {
 
@@ -68,5 +70,43 @@
   EXPECT_EQ(errorOf("\x91\x04"), "a frame that is no pair of kind and values");
 }
 
+// Guards against values that ended the process which stored or showed them
+// (docs/incidents/nonsense-report.md): names that are not UTF-8, marks that their file can't hold, clocks and
+// durations that overflow.
+TEST(Frame, RejectsValuesThatCannotBeStoredOrComputedWith) {
+  const std::string notText = "a\xff";
+  const std::string tooLong(fleet::kMaxTextBytes + 1, 'x');
+  constexpr std::uint64_t kBeyondSigned = 1ULL << 63;
+  const lease::BootTime beforeBoot(-1ms), beyondBoot(fleet::kMaxBootTime + 1ms);
+  const lease::LeaseKey key{"list", 0};
+  std::vector<Message> invalid = {
+      fleet::VoterHandshakeRequest{1, "yard", 2, {kBeyondSigned, 1}},
+      fleet::VoterHandshakeRequest{1, "yard", 2, {1, kBeyondSigned}},
+      fleet::VoterHandshakeResponse{2, {kBeyondSigned, 1}, ""},
+      fleet::Heartbeat{beforeBoot, {}},
+      fleet::Heartbeat{beyondBoot, {}},
+      fleet::HeartbeatResponse{5, {{key, 4, 3, beyondBoot, 3s}}, {}},
+      fleet::HeartbeatResponse{5, {{key, 4, 3, lease::BootTime(1ms), lease::Duration::max()}}, {}},
+      fleet::HeartbeatResponse{5, {{key, 4, 3, lease::BootTime(1ms), -3s}}, {}}};
+  for (const std::string& text : {notText, tooLong}) {
+    const lease::LeaseKey named{text, 0};
+    invalid.insert(
+        invalid.end(),
+        {fleet::JoinRequest{1, "yard", {text, 7}, "z", true},
+         fleet::JoinRequest{1, "yard", {"n0", 7}, text, true},
+         fleet::JoinRequest{1, text, {"n0", 7}, "z", true}, fleet::JoinResponse{1, 5, {{named, {4, 3, {}}}}},
+         fleet::JoinRejected{text}, fleet::Heartbeat{lease::BootTime(1ms), {{named, 4, 3}}},
+         fleet::HeartbeatResponse{5, {}, {{named, 4}}}, fleet::ReleaseLease{named, 4, true},
+         fleet::TransferLease{named, 4}, fleet::Command{{named, 4, 3, {"n0", 7}}, true, "body"},
+         fleet::Command{{key, 4, 3, {text, 7}}, true, "body"}});
+  }
+  for (const Message& message : invalid)
+    EXPECT_THROW(fleet::decode(fleet::encode(message)->substr(fleet::kFrameLengthBytes)), fleet::BadFrame)
+        << "kind " << message.index();
+  const Message command = fleet::Command{{key, 4, 3, {"n0", 7}}, true, notText};
+  EXPECT_NO_THROW(fleet::decode(fleet::encode(command)->substr(fleet::kFrameLengthBytes)))
+      << "a body is its task's own";
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
