A request to the admin socket is parsed into a typed request

A request with a wrong type, such as {"ask":5}, ended the coordinator.

Cause: the fields were read by json::value, which throws for another type, in a handler that must not throw.

Evidence: NonsenseAtTheAdminSocketEndsNoCoordinator on the code before: the coordinator is gone after the first request, exit code 1.

Change: admin_request parses a request into StatusRequest, LeasesRequest or TransferRequest, or says what was expected. Answers are written with what is no UTF-8 replaced, as names that an earlier version stored may be.

--- a/src/app/coordinator_main.cpp
+++ b/src/app/coordinator_main.cpp
@@ -9,9 +9,11 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <variant>
 
 #include "consensus/raft_log.hpp"
 #include "consensus/voter_identity.hpp"
+#include "fleet/admin_request.hpp"
 #include "fleet/admin_socket.hpp"
 #include "fleet/coordinator.hpp"
 #include "fleet/voter_handshake.hpp"
@@ -48,14 +50,15 @@
   return {{"error", key.task + "/" + std::to_string(key.shard) + " has no owner that is connected"}};
 }
 
-// The names of requests and their fields are those of the admin socket, and mapped here alone.
 json answer(fleet::Coordinator& coordinator, const json& request) {
-  const std::string ask = request.value("ask", "");
-  if (ask == "status") return coordinator.status();
-  if (ask == "duties") return coordinator.leases();
-  if (ask == "hand-over")
-    return answerTransfer(coordinator, {request.value("duty", ""), request.value("shard", 0U)});
-  return {{"error", "unknown question '" + ask + "': status, duties, hand-over"}};
+  try {
+    const fleet::AdminRequest parsed = fleet::parseAdminRequest(request);
+    if (const auto* transfer = std::get_if<fleet::TransferRequest>(&parsed))
+      return answerTransfer(coordinator, transfer->key);
+    return std::holds_alternative<fleet::StatusRequest>(parsed) ? coordinator.status() : coordinator.leases();
+  } catch (const fleet::InvalidAdminRequest& invalid) {
+    return {{"error", invalid.what()}};
+  }
 }
 
 // Reads the fleet file, and checks that this coordinator is in it.
--- a/src/fleet/admin_socket.cpp
+++ b/src/fleet/admin_socket.cpp
@@ -85,7 +85,8 @@
         const json request = json::parse(client->buffer.substr(0, size), nullptr, false);
         const json response =
             request.is_object() ? handler_(request) : json{{"error", "expected a JSON object"}};
-        client->buffer = response.dump() + "\n";
+        // Names of an earlier version's log may hold what JSON can't.
+        client->buffer = response.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
         asyncWriteAll(client->socket, boost::asio::buffer(client->buffer),
                       [client](error_code, std::size_t) {});
       }));
--- a/tests/fleet/coordinators_test.cpp
+++ b/tests/fleet/coordinators_test.cpp
@@ -358,6 +358,32 @@
   EXPECT_TRUE(until(isRunning)) << text(folder(1) + ".err");
 }
 
+// Guards against a request of a wrong type at the admin socket (docs/incidents/nonsense-report.md), which
+// ended the coordinator. Each is answered with what was expected.
+TEST_F(FleetTest, NonsenseAtTheAdminSocketEndsNoCoordinator) {
+  startCoordinator(1);
+  ASSERT_TRUE(until([&] { return answers(1); }));
+  const std::vector<std::pair<json, std::string>> requests = {
+      {{{"ask", 5}}, "ask: expected a text, found 5"},
+      {{{"ask", nullptr}}, "ask: expected a text, found null"},
+      {{{"ask", "hand-over"}, {"duty", 7}}, "duty: expected a text, found 7"},
+      {{{"ask", "hand-over"}, {"duty", "list"}, {"shard", "0"}}, "shard: expected a number, found \"0\""},
+      {{{"ask", "hand-over"}, {"duty", "list"}, {"shard", -1}},
+       "shard: expected a number from 0 to 4294967295, found -1"},
+      {{{"ask", "all"}}, "unknown question 'all': status, duties, hand-over"},
+      {json::object(), "unknown question '': status, duties, hand-over"}};
+  for (const auto& [request, expected] : requests) {
+    try {
+      fleet::queryAdminSocket(folder(1) + "/control.sock", request);
+      ADD_FAILURE() << request << " was answered without an error";
+    } catch (const std::runtime_error& error) {
+      EXPECT_EQ(error.what(), expected) << request;
+    }
+  }
+  EXPECT_TRUE(answers(1));
+  EXPECT_EQ(coordinators[1]->end(SIGTERM), 0);
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
 
