A grant that names a heartbeat of the future is ignored

What callers saw: nothing yet; found by reading what else is held for a time (docs/incidents/session-ended-before-its-answers.md).

Cause: a member measures a lease from the heartbeat that the grant names, and took the name as it came. A time beyond its own clock made the lease last longer here than on the coordinators' log, so that two could hold it.

Change: such a grant changes nothing; the member's own heartbeats are never later than its clock.

--- a/src/fleet/held_leases.cpp
+++ b/src/fleet/held_leases.cpp
@@ -22,6 +22,8 @@
 }
 
 void HeldLeases::onGrant(const LeaseGrant& grant, BootTime now) {
+  // A lease that is measured from a heartbeat which was never sent would outlast the one on the log.
+  if (grant.heartbeatSentAt > now) return;
   HeldLease& lease = leases_[grant.key];
   const Epoch formerEpoch = lease.epoch();
   lease.recordGrant(grant.epoch, grant.sequence, grant.heartbeatSentAt, grant.leaseDuration);
--- a/tests/fleet/held_leases_test.cpp
+++ b/tests/fleet/held_leases_test.cpp
@@ -45,6 +45,16 @@
   EXPECT_TRUE(leases.leasesToRenew(at(1490ms)).empty());
 }
 
+// Guards against a lease that lasts longer here than on the log: the grant names a heartbeat of the future.
+TEST_F(HeldLeasesTest, AGrantMeasuredFromAHeartbeatThatWasNotSentYetIsIgnored) {
+  leases.onGrant(grant(1, 11ms), at(10ms));
+  EXPECT_TRUE(changes.empty());
+  leases.onGrant(grant(1, 10ms), at(10ms));
+  leases.onGrant(grant(1, 60min), at(20ms));
+  EXPECT_EQ(changes, std::vector<std::string>{"begin list 1"});
+  EXPECT_EQ(leases.nextExpiry(), at(1000ms)) << "it is not extended either";
+}
+
 // The member's heartbeats get no response. Its lease expires by its own clock, and a late response does not
 // restore it.
 TEST_F(HeldLeasesTest, ALeaseThatIsNotRenewedExpires) {
