A command that does not fit into a frame is not sent

A list of discovery may have 4 MB; written anew for the fleet it is larger, and the gateway that held the list ended by BadFrame, thrown out of the event loop. Each successor would have ended on the same list.

Evidence: ACommandThatIsTooLargeIsNotSent on the code before: "a frame of 4194332 bytes, expected at most 4194304", thrown.

--- a/src/fleet/event_names.hpp
+++ b/src/fleet/event_names.hpp
@@ -17,6 +17,7 @@
   leaseAcquired,      // the member holds a lease from now on; the line has the epoch
   leaseEnded,         // the member no longer holds a lease; the line has the reason
   commandSent,        // the member sent a command as lease holder
+  commandTooLarge,    // a command does not fit into a frame, so it is not sent
   commandApplied,     // a command passed the fencing gate and is applied
   commandNotApplied,  // the command's fencing mark could not be written to the disk
   commandRejected,    // rejected by the fencing gate; logged once per key and epoch
@@ -54,6 +55,7 @@
     case Event::leaseAcquired: return "lease-acquired";
     case Event::leaseEnded: return "lease-ended";
     case Event::commandSent: return "command-sent";
+    case Event::commandTooLarge: return "command-too-large";
     case Event::commandApplied: return "command-applied";
     case Event::commandNotApplied: return "command-not-applied";
     case Event::commandRejected: return "command-rejected";
--- a/src/fleet/frame.hpp
+++ b/src/fleet/frame.hpp
@@ -15,6 +15,8 @@
 
 // Maximum payload size in bytes. An endpoint list of 10,000 entries takes 2 MB.
 inline constexpr std::size_t kMaxFrameBytes = 4 << 20;
+// Maximum size in bytes of a command's body; the rest of the frame is for its token.
+inline constexpr std::size_t kMaxCommandBodyBytes = kMaxFrameBytes - (16 << 10);
 // Size in bytes of the length field before each payload.
 inline constexpr std::size_t kFrameLengthBytes = 4;
 
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -180,8 +180,18 @@
 
 // --- Commands
 
+void Member::logTooLarge(const LeaseKey& key, std::size_t size) {
+  json fields = fleet::fieldsOf(key);
+  fields["why"] = std::to_string(size) + " bytes, expected at most " + std::to_string(kMaxCommandBodyBytes);
+  log_.write(Event::commandTooLarge, std::move(fields));
+}
+
 bool Member::sendCommand(const LeaseKey& key, std::string body, bool retained) {
   if (!hasJoined()) return false;
+  if (body.size() > kMaxCommandBodyBytes) {
+    logTooLarge(key, body.size());
+    return false;
+  }
   const std::optional<lease::FencingToken> token = leases_.nextToken(key, self_, bootTime());
   if (!token || !receiver_.admitOwnCommand(*token)) return false;
   const Command command{*token, retained, std::move(body)};
--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -46,8 +46,8 @@
   Member& operator=(const Member&) = delete;
 
   // Sends a command to all members, including this one. Returns false, and sends nothing, if this member does
-  // not hold the lease or has not joined. The last `retained` command of each key is also sent to members
-  // that join later.
+  // not hold the lease or has not joined, or if the body exceeds kMaxCommandBodyBytes. The last `retained`
+  // command of each key is also sent to members that join later.
   bool sendCommand(const lease::LeaseKey& key, std::string body, bool retained);
   // Whether this member holds the lease now.
   bool holds(const lease::LeaseKey& key) const;
@@ -80,6 +80,7 @@
   void onIsolationChange(bool isolated);
   void onLeaseBegin(const lease::LeaseKey& key, lease::Epoch epoch);
   void onLeaseEnd(const lease::LeaseKey& key, lease::Epoch epoch, LeaseEndReason reason);
+  void logTooLarge(const lease::LeaseKey& key, std::size_t size);
   void sendHeartbeat();
   void scheduleHeartbeat(lease::BootTime at);
   void scheduleExpiry();
--- a/tests/fleet/coordinators_test.cpp
+++ b/tests/fleet/coordinators_test.cpp
@@ -63,6 +63,19 @@
   EXPECT_GE(observed[holder(list)].commands.back().token.epoch, 3u);
 }
 
+// Guards against a holder that ends since its command does not fit into a frame, as a list of very many
+// endpoints (docs/incidents/nonsense-report.md). It is not sent, and the next one is.
+TEST_F(FleetTest, ACommandThatIsTooLargeIsNotSent) {
+  startCoordinators();
+  join("a");
+  ASSERT_TRUE(until([&] { return holder(list) == "a"; }));
+  EXPECT_FALSE(members["a"]->sendCommand(list, std::string(fleet::kMaxFrameBytes, 'x'), true));
+  EXPECT_NE(text(dir + "a.log").find("\"command-too-large\""), std::string::npos);
+  EXPECT_TRUE(members["a"]->sendCommand(list, std::string(fleet::kMaxFrameBytes - (16 << 10), 'x'), false));
+  EXPECT_TRUE(members["a"]->sendCommand(list, "hosts", true));
+  EXPECT_EQ(observed["a"].commands.size(), 2u);
+}
+
 // A member that stores its fencing marks restarts. The effect of the last command is lost, so that command is
 // accepted once more; older ones are rejected.
 TEST_F(FleetTest, RestartedMemberAcceptsOnlyTheLastCommandAgain) {
