A repeat behind the last text in error is answered from its session

What callers saw: a call that was repeated in its session, behind the last text that its connection has answered, was told -32001 "harmless" though its first run had run, or still ran: a stock-out that is then repeated in another session runs twice. The review had it by reading; it was not shown.

Cause: Frontend::rejectAll did not ask the session table.

Change: rejectAll answers what the session knows as any other repeat is answered: the held result, the running call joined, an error for another call under the id. Only a call that is not known is rejected. The lookup and the answer are one piece of code for both ways (SessionTable::find, answerFromSession).

--- a/src/jsonrpc/frontend.cpp
+++ b/src/jsonrpc/frontend.cpp
@@ -110,12 +110,22 @@
   group->batch = request.batch;
   group->replies.resize(request.entries.size());
   for (std::size_t i = 0; i < request.entries.size(); ++i)
-    if (request.entries[i].kind == Entry::Kind::call)
-      fail(group, i, request.entries[i], kRefused, "Refused: the connection ends",
-           "{\"retry\":\"harmless\"}");
+    if (request.entries[i].kind == Entry::Kind::call) reject(id, group, i, request.entries[i]);
   complete(group);
 }
 
+// A call that its session knows did run, or runs, so it has what any other repeat of it has.
+void Frontend::reject(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry) {
+  const auto known = peers_.find(id);
+  if (known != peers_.end() && known->second.session != 0 && !entry.key.empty()) {
+    const Peer& peer = known->second;
+    if (!firstOfItsId(peer, *group, entry)) return failAsIdInUse(group, place, entry);
+    const auto found = table_.find(peer.session, entry.key, printOf(entry));
+    if (found && answerFromSession(id, group, place, entry, *found)) return;
+  }
+  fail(group, place, entry, kRefused, "Refused: the connection ends", "{\"retry\":\"harmless\"}");
+}
+
 // How long the client waits for this entry; Duration::max() for an entry that runs nothing.
 Duration Frontend::timeFor(std::size_t i, const Entry& entry) const {
   if (entry.kind == Entry::Kind::invalid) return Duration::max();
@@ -136,12 +146,7 @@
     return fail(group, place, entry, kInvalidRequest, std::string("Invalid Request: ") + entry.error);
   if (entry.method == kSessionMethod) return openSession(id, group, place, entry);
   Peer& peer = peers_[id];
-  if (!firstOfItsId(peer, *group, entry)) {
-    Entry nameless = entry;
-    nameless.id = "null";
-    return fail(group, place, nameless, kInvalidRequest, "Invalid Request: the id of another open call",
-                "{\"id\":" + std::string(entry.id) + "}");
-  }
+  if (!firstOfItsId(peer, *group, entry)) return failAsIdInUse(group, place, entry);
   const auto known = methods_.find(entry.method);
   if (known == methods_.end()) return fail(group, place, entry, kMethodNotFound, "Method not found");
   if (entry.params.size() > settings_.limits.paramsBytes)
@@ -149,23 +154,40 @@
   if (entry.kind == Entry::Kind::call && !entry.key.empty() && peer.session != 0) {
     const SessionTable::Found found =
         table_.begin(now(), peer.session, entry.key, printOf(entry), lastTicket_ + 1);
-    switch (found.begun) {
-      case SessionTable::Begun::first: break;
-      case SessionTable::Begun::running: return join(id, group, place, entry, found.ticket);
-      case SessionTable::Begun::answered:
-        ++group->pending;
-        return deliver(group, place, entry.version, entry.id, *found.answer);
-      case SessionTable::Begun::different:
-        return fail(group, place, entry, kInvalidRequest,
-                    "Invalid Request: the session had another call with this id");
-      case SessionTable::Begun::full:
-        return fail(group, place, entry, kRefused, "Refused: no room to hold the answer",
-                    "{\"retry\":\"harmless\"}");
-    }
+    if (answerFromSession(id, group, place, entry, found)) return;
   }
   start(id, group, place, entry, *known->second, left);
 }
 
+// Answers a call from what its session knows of it. Returns false for a first run, which is not answered.
+bool Frontend::answerFromSession(ConnectionId id, const GroupPtr& group, std::size_t place,
+                                 const Entry& entry, const SessionTable::Found& found) {
+  switch (found.begun) {
+    case SessionTable::Begun::first: return false;
+    case SessionTable::Begun::running: join(id, group, place, entry, found.ticket); break;
+    case SessionTable::Begun::answered:
+      ++group->pending;
+      deliver(group, place, entry.version, entry.id, *found.answer);
+      break;
+    case SessionTable::Begun::different:
+      fail(group, place, entry, kInvalidRequest,
+           "Invalid Request: the session had another call with this id");
+      break;
+    case SessionTable::Begun::full:
+      fail(group, place, entry, kRefused, "Refused: no room to hold the answer", "{\"retry\":\"harmless\"}");
+      break;
+  }
+  return true;
+}
+
+// The response has a null id: the one with this id is the other call's.
+void Frontend::failAsIdInUse(const GroupPtr& group, std::size_t place, const Entry& entry) {
+  Entry nameless = entry;
+  nameless.id = "null";
+  fail(group, place, nameless, kInvalidRequest, "Invalid Request: the id of another open call",
+       "{\"id\":" + std::string(entry.id) + "}");
+}
+
 // A client can't tell two responses with the same id apart. So only the first call with an id that is in use
 // gets a response with it; a second one gets an error with a null id. Null ids may repeat.
 bool Frontend::firstOfItsId(const Peer& peer, Group& group, const Entry& entry) const {
--- a/src/jsonrpc/frontend.hpp
+++ b/src/jsonrpc/frontend.hpp
@@ -79,6 +79,10 @@
   void rejectAll(ConnectionId id, std::string_view text);
   void take(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry,
             policy::Duration left);
+  void reject(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry);
+  bool answerFromSession(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry,
+                         const SessionTable::Found& found);
+  void failAsIdInUse(const GroupPtr& group, std::size_t place, const Entry& entry);
   bool firstOfItsId(const Peer& peer, Group& group, const Entry& entry) const;
   void openSession(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry);
   policy::Duration timeFor(std::size_t i, const Entry& entry) const;
--- a/src/jsonrpc/session_table.cpp
+++ b/src/jsonrpc/session_table.cpp
@@ -34,21 +34,26 @@
   due_.push({now + limits_.ttl, id, {}});
 }
 
-SessionTable::Entry* SessionTable::find(Id id, const std::string& key) {
+const SessionTable::Entry* SessionTable::entryOf(Id id, const std::string& key) const {
   const auto session = sessions_.find(id);
   if (session == sessions_.end()) return nullptr;
   const auto entry = session->second.entries.find(key);
   return entry == session->second.entries.end() ? nullptr : &entry->second;
 }
 
+std::optional<SessionTable::Found> SessionTable::find(Id id, const std::string& key,
+                                                      std::uint64_t print) const {
+  const Entry* known = entryOf(id, key);
+  if (!known) return std::nullopt;
+  if (known->print != print) return Found{Begun::different, 0, nullptr};
+  if (known->done) return Found{Begun::answered, known->ticket, &known->answer};
+  return Found{Begun::running, known->ticket, nullptr};
+}
+
 SessionTable::Found SessionTable::begin(Time now, Id id, const std::string& key, std::uint64_t print,
                                         std::uint64_t ticket) {
   expire(now);
-  if (const Entry* known = find(id, key)) {
-    if (known->print != print) return {Begun::different, 0, nullptr};
-    if (known->done) return {Begun::answered, known->ticket, &known->answer};
-    return {Begun::running, known->ticket, nullptr};
-  }
+  if (const std::optional<Found> known = find(id, key, print)) return *known;
   const auto it = sessions_.find(id);
   const std::size_t cost = kEntryCost + key.size();
   // If an old result were dropped to make room, a repeat of its call would run a second time. So a full table
@@ -65,13 +70,14 @@
 }
 
 void SessionTable::answered(Time now, Id id, const std::string& key, Result answer) {
-  Entry* entry = find(id, key);
-  if (!entry || entry->done) return;
+  const Entry* known = entryOf(id, key);
+  if (!known || known->done) return;
+  Entry& entry = sessions_.at(id).entries.at(key);
   bytes_ += answer.json.size();
-  entry->answer = std::move(answer);
-  entry->done = true;
-  entry->due = now + limits_.ttl;
-  due_.push({entry->due, id, key});
+  entry.answer = std::move(answer);
+  entry.done = true;
+  entry.due = now + limits_.ttl;
+  due_.push({entry.due, id, key});
 }
 
 void SessionTable::neverRan(Id id, const std::string& key) {
@@ -100,7 +106,7 @@
 }
 
 void SessionTable::expireEntry(Time now, Due due, Session& session) {
-  const Entry* entry = find(due.session, due.key);
+  const Entry* entry = entryOf(due.session, due.key);
   if (!entry || !entry->done) return;
   const Time heldUntil = std::max(entry->due, session.touched + limits_.ttl);
   if (heldUntil <= now) return drop(due.session, session, due.key);
--- a/src/jsonrpc/session_table.hpp
+++ b/src/jsonrpc/session_table.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <queue>
 #include <string>
 #include <string_view>
@@ -64,6 +65,8 @@
   // Begins a call with id `key`. `print`: hash of its method and params. With Begun::first, `ticket` is
   // stored.
   Found begin(Time now, Id id, const std::string& key, std::uint64_t print, std::uint64_t ticket);
+  // What is known of a call; empty if nothing is, so that it would be a first run. Begins nothing.
+  std::optional<Found> find(Id id, const std::string& key, std::uint64_t print) const;
   void answered(Time now, Id id, const std::string& key, Result answer);
   void neverRan(Id id, const std::string& key);  // rejected: a repeat counts as the first run
 
@@ -93,7 +96,7 @@
     bool operator>(const Due& o) const { return at > o.at; }
   };
 
-  Entry* find(Id id, const std::string& key);
+  const Entry* entryOf(Id id, const std::string& key) const;
   void drop(Id id, Session& session, const std::string& key);
   void expireEntry(Time now, Due due, Session& session);
   void expireSession(Time now, Id id, const Session& session);
--- a/tests/jsonrpc/frontend_test.cpp
+++ b/tests/jsonrpc/frontend_test.cpp
@@ -529,6 +529,38 @@
   EXPECT_TRUE(worker.cancels.empty());
 }
 
+// Guards against a repeat that was told that it is harmless to run it again, though its first run had run
+// (docs/incidents/session-ended-before-its-answers.md): it stood unread behind the last text that is
+// answered.
+TEST_F(Session, ARepeatBehindTheLastTextInErrorIsNotToldThatItNeverRan) {
+  std::shared_ptr<Lines> held;
+  int attempts = 0;
+  Worker& worker = addWorker([&](Lines& from, const json& request) {
+    if (++attempts == 1) from.say(result(request["id"], "first run"));
+    else held = from.shared_from_this();
+  });
+  start();
+  auto first = session();
+  first->say(call(7, "write"));
+  ASSERT_TRUE(until([&] { return first->texts.size() == 2; }));
+  first->say(call(8, "write"));
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  first->close();
+  auto again = session(true);
+  std::string texts;
+  for (int i = 0; i < 20; ++i) texts += "{]\n";
+  for (const int id : {7, 8, 9}) texts += call(id, "write").dump() + "\n";
+  again->send(texts + call(7, "write", {{"log", 2}}).dump() + "\n");
+  ASSERT_TRUE(until([&] { return again->texts.size() >= 1 + 16 + 3; }));
+  EXPECT_EQ(again->reply(7)["result"], "first run");
+  EXPECT_EQ(code(again->reply(9)), -32001) << "it did not run";
+  EXPECT_EQ(code(again->texts.back()), -32600) << "the id was another call's";
+  held->say(result(worker.requests[1]["id"], "still ran"));
+  ASSERT_TRUE(until([&] { return again->closedByPeer; }));
+  EXPECT_EQ(again->reply(8)["result"], "still ran");
+  EXPECT_EQ(runs(), 2u);
+}
+
 TEST_F(Session, TheNewestConnectionHasTheSessionAndTheOldOneIsClosed) {
   std::shared_ptr<Lines> held;
   Worker& worker = addWorker([&](Lines& from, const json&) { held = from.shared_from_this(); });
