A count of members out of range is rejected with its frame

An isolated member waits in proportion to the members before it polls discovery by itself, up to a second for each; a leader's message with 4,000,000,000 members would make it wait for years.

Evidence: Frame.RejectsValuesThatCannotBeStoredOrComputedWith on the commit before, with the rows of JoinResponse and HeartbeatResponse: both decoded.

Change: message_validation bounds the count by the fleet file's own limit.

--- a/src/fleet/message_validation.cpp
+++ b/src/fleet/message_validation.cpp
@@ -36,6 +36,11 @@
                    std::to_string(mark.startCount));
 }
 
+void requireMemberCount(std::uint32_t members) {
+  if (members > kMaxMemberCount)
+    throw BadFrame(std::to_string(members) + " members, expected at most " + std::to_string(kMaxMemberCount));
+}
+
 void requireValid(const JoinRequest& message) {
   requireText(message.fleet, "a fleet");
   requireText(message.member.name, "a member");
@@ -53,6 +58,7 @@
 }
 
 void requireValid(const JoinResponse& message) {
+  requireMemberCount(message.members);
   for (const auto& [key, mark] : message.marks) requireKey(key);
 }
 
@@ -73,6 +79,7 @@
 }
 
 void requireValid(const HeartbeatResponse& message) {
+  requireMemberCount(message.members);
   for (const LeaseGrant& grant : message.granted) requireValid(grant);
   for (const LostLease& lost : message.lost) requireKey(lost.key);
 }
--- a/src/fleet/message_validation.hpp
+++ b/src/fleet/message_validation.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 #include "fleet/messages.hpp"
 
@@ -14,6 +15,10 @@
 // Of a machine's boot clock.
 inline constexpr lease::Duration kMaxBootTime = std::chrono::hours(24 * 365 * 100);
 
+// Connected members, as a leader counts them. An isolated member waits in proportion before it polls
+// discovery.
+inline constexpr std::uint32_t kMaxMemberCount = 10'000;
+
 // Throws BadFrame that names the value.
 void validate(const Message& message);
 
--- a/tests/fleet/frame_test.cpp
+++ b/tests/fleet/frame_test.cpp
@@ -83,6 +83,8 @@
       fleet::VoterHandshakeRequest{1, "yard", 2, {kBeyondSigned, 1}},
       fleet::VoterHandshakeRequest{1, "yard", 2, {1, kBeyondSigned}},
       fleet::VoterHandshakeResponse{2, {kBeyondSigned, 1}, ""},
+      fleet::JoinResponse{1, 4'000'000'000, {}},
+      fleet::HeartbeatResponse{4'000'000'000, {}, {}},
       fleet::Heartbeat{beforeBoot, {}},
       fleet::Heartbeat{beyondBoot, {}},
       fleet::HeartbeatResponse{5, {{key, 4, 3, beyondBoot, 3s}}, {}},
