The session table's names say what they are

Cause: Begun, Found, print, Due, touched, drop and the like needed their comments to be understood. CallStatus, KnownCall, fingerprint, Expiry, attachmentChangedAt, recordResult, recordNotRun and entriesPerSession stand in their place; the setting entries_of_one keeps its name and is mapped at the edge as before.

No behaviour and no expectation is changed; tests call the new names.

--- a/src/app/fleet_endpoint_lists.cpp
+++ b/src/app/fleet_endpoint_lists.cpp
@@ -49,7 +49,6 @@
 }
 
 // --- Who calls discovery
-// ------------------------------------------------------------------------------------
 
 bool FleetEndpointLists::pollsDiscovery() const { return pushed_ || polling_.shouldPoll(bootTime()); }
 
@@ -118,7 +117,6 @@
 }
 
 // --- Lists
-// --------------------------------------------------------------------------------------------------
 
 bool FleetEndpointLists::holdsList() const { return member_ && member_->holds(listKey()); }
 
@@ -161,7 +159,6 @@
 }
 
 // --- Commands of other members
-// --------------------------------------------------------------------------------------------------
 
 void FleetEndpointLists::onCommand(const fleet::Command& command) {
   if (command.token.holder == member_->self()) return;
--- a/src/jsonrpc/frontend.cpp
+++ b/src/jsonrpc/frontend.cpp
@@ -28,7 +28,7 @@
   return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
 }
 
-std::uint64_t printOf(const Entry& entry) {
+std::uint64_t fingerprintOf(const Entry& entry) {
   std::string all(entry.method);
   all.append(1, '\0').append(entry.params);
   return std::hash<std::string>{}(all);
@@ -120,7 +120,7 @@
   if (known != peers_.end() && known->second.session != 0 && !entry.key.empty()) {
     const Peer& peer = known->second;
     if (!firstOfItsId(peer, *group, entry)) return failAsIdInUse(group, place, entry);
-    const auto found = table_.find(peer.session, entry.key, printOf(entry));
+    const auto found = table_.find(peer.session, entry.key, fingerprintOf(entry));
     if (found && answerFromSession(id, group, place, entry, *found)) return;
   }
   fail(group, place, entry, kRefused, "Refused: the connection ends", "{\"retry\":\"harmless\"}");
@@ -152,8 +152,8 @@
   if (entry.params.size() > settings_.limits.paramsBytes)
     return fail(group, place, entry, kInvalidParams, "Invalid params: too large");
   if (entry.kind == Entry::Kind::call && !entry.key.empty() && peer.session != 0) {
-    const SessionTable::Found found =
-        table_.begin(now(), peer.session, entry.key, printOf(entry), lastTicket_ + 1);
+    const SessionTable::KnownCall found =
+        table_.begin(now(), peer.session, entry.key, fingerprintOf(entry), lastTicket_ + 1);
     if (answerFromSession(id, group, place, entry, found)) return;
   }
   start(id, group, place, entry, *known->second, left);
@@ -161,19 +161,19 @@
 
 // Answers a call from what its session knows of it. Returns false for a first run, which is not answered.
 bool Frontend::answerFromSession(ConnectionId id, const GroupPtr& group, std::size_t place,
-                                 const Entry& entry, const SessionTable::Found& found) {
-  switch (found.begun) {
-    case SessionTable::Begun::first: return false;
-    case SessionTable::Begun::running: join(id, group, place, entry, found.ticket); break;
-    case SessionTable::Begun::answered:
+                                 const Entry& entry, const SessionTable::KnownCall& found) {
+  switch (found.status) {
+    case SessionTable::CallStatus::first: return false;
+    case SessionTable::CallStatus::running: join(id, group, place, entry, found.ticket); break;
+    case SessionTable::CallStatus::answered:
       ++group->pending;
       deliver(group, place, entry.version, entry.id, *found.answer);
       break;
-    case SessionTable::Begun::different:
+    case SessionTable::CallStatus::different:
       fail(group, place, entry, kInvalidRequest,
            "Invalid Request: the session had another call with this id");
       break;
-    case SessionTable::Begun::full:
+    case SessionTable::CallStatus::full:
       fail(group, place, entry, kRefused, "Refused: no room to hold the answer", "{\"retry\":\"harmless\"}");
       break;
   }
@@ -203,7 +203,7 @@
   const bool call = entry.kind == Entry::Kind::call;
   const bool held = call && !entry.key.empty() && peer.session != 0;
   const auto turnAway = [&](int code, std::string_view message, std::string_view data = {}) {
-    if (held) table_.neverRan(peer.session, entry.key);
+    if (held) table_.recordNotRun(peer.session, entry.key);
     fail(group, place, entry, code, message, data);
   };
   const std::size_t cost = kCallCost + entry.params.size();
@@ -283,11 +283,11 @@
     return fail(group, place, entry, kInvalidRequest,
                 "Invalid Request: a session is opened once, before the connection's calls");
   SessionTable::Id session = 0;
-  const SessionTable::Opened opened = table_.open(now(), *name, resume && *resume == "true", session);
-  if (opened == SessionTable::Opened::notHeld)
+  const SessionTable::OpenResult opened = table_.open(now(), *name, resume && *resume == "true", session);
+  if (opened == SessionTable::OpenResult::notHeld)
     return fail(group, place, entry, kNoSession,
                 "The session is not held: what its calls came to is not known", "{\"retry\":\"unknown\"}");
-  if (opened == SessionTable::Opened::full)
+  if (opened == SessionTable::OpenResult::full)
     return fail(group, place, entry, kRefused, "Refused: too many sessions", "{\"retry\":\"harmless\"}");
   // The session's previous connection may be dead without our having noticed, and responses written to it
   // would be lost. So the newest connection takes over the session, and the previous one is closed.
@@ -304,10 +304,10 @@
   const auto ttl = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.sessions.ttl).count();
   if (entry.kind != Entry::Kind::call) return;
   ++group->pending;
-  deliver(
-      group, place, entry.version, entry.id,
-      {false, std::string("{\"resumed\":") + (opened == SessionTable::Opened::resumed ? "true" : "false") +
-                  ",\"ttl_ms\":" + std::to_string(ttl) + "}"});
+  deliver(group, place, entry.version, entry.id,
+          {false, std::string("{\"resumed\":") +
+                      (opened == SessionTable::OpenResult::resumed ? "true" : "false") +
+                      ",\"ttl_ms\":" + std::to_string(ttl) + "}"});
 }
 
 // --- Replies --------------------------------------------------------------------------------------------
@@ -320,12 +320,12 @@
   server_.release(slot.bytes);
   leave(ticket, slot);
   if (!slot.group && slot.session == 0) return;  // a notification: no response
-  const bool neverRan = reply.status == ReplyStatus::rejected;
+  const bool notRun = reply.status == ReplyStatus::rejected;
   Result result = resultOf(std::move(reply), slot.safe, checker_);
   if (slot.group) deliver(slot.group, slot.place, slot.version, slot.id, result);
   if (slot.session == 0) return;
-  if (neverRan) table_.neverRan(slot.session, slot.key);
-  else table_.answered(now(), slot.session, slot.key, std::move(result));
+  if (notRun) table_.recordNotRun(slot.session, slot.key);
+  else table_.recordResult(now(), slot.session, slot.key, std::move(result));
 }
 
 // Removes the call from its connection's open calls.
--- a/src/jsonrpc/frontend.hpp
+++ b/src/jsonrpc/frontend.hpp
@@ -81,7 +81,7 @@
             policy::Duration left);
   void reject(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry);
   bool answerFromSession(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry,
-                         const SessionTable::Found& found);
+                         const SessionTable::KnownCall& found);
   void failAsIdInUse(const GroupPtr& group, std::size_t place, const Entry& entry);
   bool firstOfItsId(const Peer& peer, Group& group, const Entry& entry) const;
   void openSession(ConnectionId id, const GroupPtr& group, std::size_t place, const Entry& entry);
--- a/src/jsonrpc/session_table.hpp
+++ b/src/jsonrpc/session_table.hpp
@@ -4,7 +4,7 @@
 // A session is attached while a connection uses it. A result is kept for `ttl` after it was set, and at least
 // until `ttl` after the session was last attached or detached. A detached session is removed `ttl` after it
 // was detached, but not before its last call has ended and the last result has expired; resuming it then
-// fails with Opened::notHeld.
+// fails with OpenResult::notHeld.
 #pragma once
 
 #include <cstddef>
@@ -34,23 +34,23 @@
 
   struct Limits {
     std::size_t sessions = 1024;
-    std::size_t entries = 65536;      // over all sessions
-    std::size_t entriesOfOne = 8192;  // of one session, so that it can't fill the table
-    std::size_t bytes = 8 << 20;      // of ids and results, plus kEntryCost for each entry
+    std::size_t entries = 65536;           // over all sessions
+    std::size_t entriesPerSession = 8192;  // of one session, so that it can't fill the table
+    std::size_t bytes = 8 << 20;           // of ids and results, plus kBytesPerEntry for each entry
     policy::Duration ttl = std::chrono::seconds(60);
   };
-  static constexpr std::size_t kEntryCost = 160;  // bytes of the containers for an entry
+  static constexpr std::size_t kBytesPerEntry = 160;  // bytes of the containers for an entry
 
-  enum class Opened { fresh, resumed, notHeld, full };
-  enum class Begun {
+  enum class OpenResult { fresh, resumed, notHeld, full };
+  enum class CallStatus {
     first,      // run it; the entry is kept from now on
     running,    // its first run, with `ticket`, is in flight
     answered,   // `answer` is the result of the first run
     different,  // the id was used for another request
     full        // no room for its entry, so it must not run
   };
-  struct Found {
-    Begun begun = Begun::full;
+  struct KnownCall {
+    CallStatus status = CallStatus::full;
     std::uint64_t ticket = 0;
     const Result* answer = nullptr;  // until the table is changed
   };
@@ -59,16 +59,16 @@
 
   // Attaches a session by its name; with `resume` only an existing one. The caller closes a connection that
   // had it before.
-  Opened open(Time now, std::string_view name, bool resume, Id& id);
+  OpenResult open(Time now, std::string_view name, bool resume, Id& id);
   void detach(Time now, Id id);  // its connection closed
 
-  // Begins a call with id `key`. `print`: hash of its method and params. With Begun::first, `ticket` is
-  // stored.
-  Found begin(Time now, Id id, const std::string& key, std::uint64_t print, std::uint64_t ticket);
+  // Begins a call with id `key`. `fingerprint`: hash of its method and params. With CallStatus::first,
+  // `ticket` is stored.
+  KnownCall begin(Time now, Id id, const std::string& key, std::uint64_t fingerprint, std::uint64_t ticket);
   // What is known of a call; empty if nothing is, so that it would be a first run. Begins nothing.
-  std::optional<Found> find(Id id, const std::string& key, std::uint64_t print) const;
-  void answered(Time now, Id id, const std::string& key, Result answer);
-  void neverRan(Id id, const std::string& key);  // rejected: a repeat counts as the first run
+  std::optional<KnownCall> find(Id id, const std::string& key, std::uint64_t fingerprint) const;
+  void recordResult(Time now, Id id, const std::string& key, Result answer);
+  void recordNotRun(Id id, const std::string& key);  // rejected: a repeat counts as the first run
 
   void expire(Time now);  // removes what has expired; to be called periodically
 
@@ -78,34 +78,34 @@
 
  private:
   struct Entry {
-    std::uint64_t print = 0, ticket = 0;
+    std::uint64_t fingerprint = 0, ticket = 0;
     Result answer;
     bool done = false;
-    Time due{};
+    Time expiresAt{};
   };
   struct Session {
     std::string name;
     bool attached = true;
-    Time touched{};  // attached or detached
+    Time attachmentChangedAt{};  // attached or detached
     std::unordered_map<std::string, Entry> entries;
   };
-  struct Due {
+  struct Expiry {
     Time at{};
     Id session = 0;
     std::string key;  // empty: the session itself
-    bool operator>(const Due& o) const { return at > o.at; }
+    bool operator>(const Expiry& other) const { return at > other.at; }
   };
 
   const Entry* entryOf(Id id, const std::string& key) const;
-  void drop(Id id, Session& session, const std::string& key);
-  void expireEntry(Time now, Due due, Session& session);
+  void erase(Id id, Session& session, const std::string& key);
+  void expireEntry(Time now, Expiry expiry, Session& session);
   void expireSession(Time now, Id id, const Session& session);
 
   Limits limits_;
   std::unordered_map<Id, Session> sessions_;
   std::unordered_map<std::string, Id> byName_;
-  std::priority_queue<Due, std::vector<Due>, std::greater<>>
-      due_;  // of finished entries and detached sessions
+  // Of finished entries and detached sessions.
+  std::priority_queue<Expiry, std::vector<Expiry>, std::greater<>> expiries_;
   std::size_t entries_ = 0, bytes_ = 0;
   Id last_ = 0;
 };
--- a/src/jsonrpc/settings.cpp
+++ b/src/jsonrpc/settings.cpp
@@ -157,7 +157,7 @@
                        }},
                       {"sessions", [&](const json& n) { l.sessions = size(n, 0, 1e6); }},
                       {"entries", [&](const json& n) { l.entries = size(n, 0, 1e7); }},
-                      {"entries_of_one", [&](const json& n) { l.entriesOfOne = size(n, 0, 1e7); }},
+                      {"entries_of_one", [&](const json& n) { l.entriesPerSession = size(n, 0, 1e7); }},
                       {"bytes", [&](const json& n) { l.bytes = size(n, 0, huge); }}});
         }},
        {"workers", [&](const json& v) {
--- a/tests/jsonrpc/session_table_test.cpp
+++ b/tests/jsonrpc/session_table_test.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 using namespace std::chrono_literals;
-using Begun = SessionTable::Begun;
-using Opened = SessionTable::Opened;
+using CallStatus = SessionTable::CallStatus;
+using OpenResult = SessionTable::OpenResult;
 using Time = SessionTable::Time;
 
 SessionTable::Limits limits() {
@@ -23,17 +23,17 @@
 TEST(SessionTable, HoldsAnAnswerForItsTimeAndForgetsIt) {
   SessionTable table(limits());
   SessionTable::Id id = 0;
-  ASSERT_EQ(table.open(Time(0s), "yard", false, id), Opened::fresh);
-  EXPECT_EQ(table.begin(Time(1s), id, "n1", 5, 77).begun, Begun::first);
+  ASSERT_EQ(table.open(Time(0s), "yard", false, id), OpenResult::fresh);
+  EXPECT_EQ(table.begin(Time(1s), id, "n1", 5, 77).status, CallStatus::first);
   const auto running = table.begin(Time(2s), id, "n1", 5, 78);
-  EXPECT_EQ(running.begun, Begun::running);
+  EXPECT_EQ(running.status, CallStatus::running);
   EXPECT_EQ(running.ticket, 77u);
-  table.answered(Time(3s), id, "n1", {false, "42"});
+  table.recordResult(Time(3s), id, "n1", {false, "42"});
   const auto answered = table.begin(Time(62s), id, "n1", 5, 79);
-  ASSERT_EQ(answered.begun, Begun::answered);
+  ASSERT_EQ(answered.status, CallStatus::answered);
   EXPECT_EQ(answered.answer->json, "42");
-  EXPECT_EQ(table.begin(Time(62s), id, "n1", 6, 79).begun, Begun::different);
-  EXPECT_EQ(table.begin(Time(63s), id, "n1", 5, 80).begun, Begun::first) << "its time is over";
+  EXPECT_EQ(table.begin(Time(62s), id, "n1", 6, 79).status, CallStatus::different);
+  EXPECT_EQ(table.begin(Time(63s), id, "n1", 5, 80).status, CallStatus::first) << "its time is over";
 }
 
 TEST(SessionTable, WhatWasHeldAtADropIsHeldForItsTimeFromTheDropOn) {
@@ -41,14 +41,14 @@
   SessionTable::Id id = 0;
   table.open(Time(0s), "yard", false, id);
   table.begin(Time(0s), id, "n1", 5, 1);
-  table.answered(Time(1s), id, "n1", {false, "1"});
+  table.recordResult(Time(1s), id, "n1", {false, "1"});
   table.detach(Time(50s), id);
   table.expire(Time(100s));
   EXPECT_EQ(table.entries(), 1u) << "answered 99 s ago, dropped 50 s ago";
   SessionTable::Id again = 0;
-  ASSERT_EQ(table.open(Time(105s), "yard", true, again), Opened::resumed);
+  ASSERT_EQ(table.open(Time(105s), "yard", true, again), OpenResult::resumed);
   EXPECT_EQ(again, id);
-  EXPECT_EQ(table.begin(Time(160s), id, "n1", 5, 2).begun, Begun::answered);
+  EXPECT_EQ(table.begin(Time(160s), id, "n1", 5, 2).status, CallStatus::answered);
 }
 
 TEST(SessionTable, ADetachedSessionIsForgottenAndResumingSaysSo) {
@@ -56,17 +56,17 @@
   SessionTable::Id id = 0;
   table.open(Time(0s), "yard", false, id);
   table.begin(Time(0s), id, "n1", 5, 1);
-  table.answered(Time(1s), id, "n1", {false, "1"});
+  table.recordResult(Time(1s), id, "n1", {false, "1"});
   table.detach(Time(1s), id);
   table.open(Time(30s), "yard", false, id);
   table.detach(Time(40s), id);
   table.expire(Time(99s));
   EXPECT_EQ(table.sessions(), 1u) << "the last drop counts";
-  EXPECT_EQ(table.open(Time(100s), "yard", true, id), Opened::notHeld);
+  EXPECT_EQ(table.open(Time(100s), "yard", true, id), OpenResult::notHeld);
   EXPECT_EQ(table.sessions(), 0u);
   EXPECT_EQ(table.entries(), 0u);
   EXPECT_EQ(table.bytes(), 0u);
-  table.answered(Time(101s), id, "n1", {false, "late"});  // of a session that is no more
+  table.recordResult(Time(101s), id, "n1", {false, "late"});  // of a session that is no more
   EXPECT_EQ(table.bytes(), 0u);
 }
 
@@ -81,13 +81,13 @@
     table.begin(Time(0s), id, "n1", 5, 1);
     table.begin(Time(0s), id, "n2", 5, 2);
     table.detach(Time(1s), id);
-    table.answered(Time(2s), id, "n1", {false, "1"});
-    table.answered(Time(3s), id, "n2", {false, "2"});
+    table.recordResult(Time(2s), id, "n1", {false, "1"});
+    table.recordResult(Time(3s), id, "n2", {false, "2"});
     table.expire(Time(62500ms));
     EXPECT_EQ(table.entries(), 1u) << "the first one's time is over";
-    ASSERT_EQ(table.open(Time(62900ms), "yard", resume, again), Opened::resumed);
+    ASSERT_EQ(table.open(Time(62900ms), "yard", resume, again), OpenResult::resumed);
     EXPECT_EQ(again, id);
-    EXPECT_EQ(table.begin(Time(62900ms), id, "n2", 5, 3).begun, Begun::answered);
+    EXPECT_EQ(table.begin(Time(62900ms), id, "n2", 5, 3).status, CallStatus::answered);
   }
 }
 
@@ -100,12 +100,12 @@
   table.begin(Time(0s), id, "n1", 5, 77);
   table.detach(Time(1s), id);
   table.expire(Time(500s));
-  ASSERT_EQ(table.open(Time(500s), "yard", true, again), Opened::resumed);
+  ASSERT_EQ(table.open(Time(500s), "yard", true, again), OpenResult::resumed);
   const auto joined = table.begin(Time(500s), again, "n1", 5, 78);
-  EXPECT_EQ(joined.begun, Begun::running);
+  EXPECT_EQ(joined.status, CallStatus::running);
   EXPECT_EQ(joined.ticket, 77u);
   table.detach(Time(501s), id);
-  table.answered(Time(600s), id, "n1", {false, "1"});
+  table.recordResult(Time(600s), id, "n1", {false, "1"});
   table.expire(Time(659s));
   EXPECT_EQ(table.sessions(), 1u);
   table.expire(Time(660s));
@@ -121,7 +121,7 @@
   table.detach(Time(1s), id);
   table.expire(Time(70s));
   EXPECT_EQ(table.sessions(), 1u);
-  table.neverRan(id, "n1");
+  table.recordNotRun(id, "n1");
   table.expire(Time(70s));
   EXPECT_EQ(table.sessions(), 0u);
 }
@@ -130,20 +130,20 @@
   SessionTable::Limits l = limits();
   l.sessions = 2;
   l.entries = 3;
-  l.entriesOfOne = 2;
+  l.entriesPerSession = 2;
   SessionTable table(l);
   SessionTable::Id a = 0, b = 0, c = 0;
   table.open(Time(0s), "a", false, a);
   table.open(Time(0s), "b", false, b);
-  EXPECT_EQ(table.open(Time(0s), "c", false, c), Opened::full);
-  EXPECT_EQ(table.begin(Time(0s), a, "n1", 1, 1).begun, Begun::first);
-  EXPECT_EQ(table.begin(Time(0s), a, "n2", 1, 2).begun, Begun::first);
-  EXPECT_EQ(table.begin(Time(0s), a, "n3", 1, 3).begun, Begun::full) << "one client has no more";
-  EXPECT_EQ(table.begin(Time(0s), b, "n1", 1, 4).begun, Begun::first);
-  EXPECT_EQ(table.begin(Time(0s), b, "n2", 1, 5).begun, Begun::full);
-  EXPECT_EQ(table.begin(Time(0s), a, "n1", 1, 6).begun, Begun::running);
-  table.neverRan(a, "n1");
-  EXPECT_EQ(table.begin(Time(0s), b, "n2", 1, 7).begun, Begun::first);
+  EXPECT_EQ(table.open(Time(0s), "c", false, c), OpenResult::full);
+  EXPECT_EQ(table.begin(Time(0s), a, "n1", 1, 1).status, CallStatus::first);
+  EXPECT_EQ(table.begin(Time(0s), a, "n2", 1, 2).status, CallStatus::first);
+  EXPECT_EQ(table.begin(Time(0s), a, "n3", 1, 3).status, CallStatus::full) << "one client has no more";
+  EXPECT_EQ(table.begin(Time(0s), b, "n1", 1, 4).status, CallStatus::first);
+  EXPECT_EQ(table.begin(Time(0s), b, "n2", 1, 5).status, CallStatus::full);
+  EXPECT_EQ(table.begin(Time(0s), a, "n1", 1, 6).status, CallStatus::running);
+  table.recordNotRun(a, "n1");
+  EXPECT_EQ(table.begin(Time(0s), b, "n2", 1, 7).status, CallStatus::first);
 }
 
 TEST(SessionTable, BytesAreBounded) {
@@ -152,11 +152,11 @@
   SessionTable table(l);
   SessionTable::Id id = 0;
   table.open(Time(0s), "a", false, id);
-  EXPECT_EQ(table.begin(Time(0s), id, "n1", 1, 1).begun, Begun::first);
-  table.answered(Time(0s), id, "n1", {false, std::string(900, 'x')});
-  EXPECT_EQ(table.begin(Time(0s), id, "n2", 1, 2).begun, Begun::full);
-  EXPECT_EQ(table.begin(Time(59s), id, "n1", 1, 3).begun, Begun::answered);
-  EXPECT_EQ(table.begin(Time(61s), id, "n2", 1, 4).begun, Begun::first);
+  EXPECT_EQ(table.begin(Time(0s), id, "n1", 1, 1).status, CallStatus::first);
+  table.recordResult(Time(0s), id, "n1", {false, std::string(900, 'x')});
+  EXPECT_EQ(table.begin(Time(0s), id, "n2", 1, 2).status, CallStatus::full);
+  EXPECT_EQ(table.begin(Time(59s), id, "n1", 1, 3).status, CallStatus::answered);
+  EXPECT_EQ(table.begin(Time(61s), id, "n2", 1, 4).status, CallStatus::first);
 }
 
 // Against a simple model, with clients that stay away for long: a call that runs, or was answered less than a
@@ -180,7 +180,7 @@
       const std::string key = "n" + std::to_string(random() % 12), mine = std::to_string(who) + key;
       const std::uint64_t step = random() % 4;
       if (step == 1 && running[mine]) {  // calls go on while their client is away
-        table.answered(now, ids[who], key, {false, "1"});
+        table.recordResult(now, ids[who], key, {false, "1"});
         running[mine] = false;
         heldUntil[mine] = now + 60s;
         continue;
@@ -191,9 +191,9 @@
           continue;
         }
         SessionTable::Id id = 0;
-        const Opened opened = table.open(now, "session" + std::to_string(who), false, id);
-        ASSERT_NE(opened, Opened::full);
-        if (opened == Opened::fresh) {
+        const OpenResult opened = table.open(now, "session" + std::to_string(who), false, id);
+        ASSERT_NE(opened, OpenResult::full);
+        if (opened == OpenResult::fresh) {
           for (const auto& entry : running) EXPECT_FALSE(isOf(who, entry) && entry.second) << entry.first;
           for (const auto& entry : heldUntil)
             EXPECT_FALSE(isOf(who, entry) && entry.second > now) << entry.first;
@@ -204,10 +204,11 @@
       }
       switch (step) {
         case 0: {
-          const auto begun = table.begin(now, ids[who], key, 1, 1).begun;
-          if (running[mine]) EXPECT_EQ(begun, Begun::running);
-          else if (heldUntil.count(mine) && heldUntil[mine] > now) EXPECT_EQ(begun, Begun::answered) << mine;
-          if (begun == Begun::first) running[mine] = true;
+          const auto begun = table.begin(now, ids[who], key, 1, 1).status;
+          if (running[mine]) EXPECT_EQ(begun, CallStatus::running);
+          else if (heldUntil.count(mine) && heldUntil[mine] > now)
+            EXPECT_EQ(begun, CallStatus::answered) << mine;
+          if (begun == CallStatus::first) running[mine] = true;
           break;
         }
         case 2:
