The log says when and why an answer is passed on, and how long its host was silent

A client that left was counted, not named. Change: attempt-failed has silence_ms= and left_ms=; response-streamed and client-left.

--- a/src/core/attempt.hpp
+++ b/src/core/attempt.hpp
@@ -50,6 +50,13 @@
   clientTime      // the answer had begun, and was not whole when the client's time was over
 };
 
+// Why a response is streamed to its client before it is complete.
+enum class StreamReason {
+  none,   // it is not
+  size,   // it exceeds what is buffered of one response
+  memory  // the responses that are buffered exceed their share of the memory
+};
+
 struct AttemptOutcome {
   AttemptKey key;
   policy::EndpointId endpoint = policy::kNone;
@@ -61,6 +68,8 @@
   bool connectionKept = false;  // the connection stays open for further attempts
   AttemptLimit limit = AttemptLimit::none;
   std::uint64_t receivedBytes = 0;  // of the answer, head included, until the attempt ended
+  policy::Duration silence{};       // since its latest byte; 0: none has come
+  StreamReason streamReason = StreamReason::none;
 };
 
 // Called when the head of a streamed answer has arrived; `response.rest` delivers the rest of its body. The
--- a/src/core/attempt_log.cpp
+++ b/src/core/attempt_log.cpp
@@ -6,9 +6,34 @@
 
 namespace cairnjunction {
 
+using policy::Duration;
 using policy::FailureReason;
 using policy::Outcome;
 
+namespace {
+
+std::string millisecondsText(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+// The beginning of a line on one attempt of a request.
+std::string attemptLine(std::string_view event, std::string_view request, std::uint32_t attempt,
+                        std::string_view endpoint) {
+  std::string line(event);
+  line.append(" request=").append(request).append(" attempt=").append(std::to_string(attempt));
+  return line.append(" endpoint=").append(endpoint);
+}
+
+// A line on a request as a whole.
+std::string requestLine(std::string_view event, std::string_view request, std::uint32_t attempts,
+                        Duration timeRemaining) {
+  std::string line(event);
+  line.append(" request=").append(request).append(" attempts=").append(std::to_string(attempts));
+  return line.append(" left_ms=").append(millisecondsText(timeRemaining));
+}
+
+}  // namespace
+
 std::string_view nameOf(Outcome outcome) {
   switch (outcome) {
     case Outcome::served: return "served";
@@ -39,6 +64,15 @@
   return "unknown";
 }
 
+std::string_view nameOf(StreamReason reason) {
+  switch (reason) {
+    case StreamReason::none: return "none";
+    case StreamReason::size: return "size";
+    case StreamReason::memory: return "memory";
+  }
+  return "unknown";
+}
+
 std::string_view nameOf(AttemptLimit limit) {
   switch (limit) {
     case AttemptLimit::none: return "none";
@@ -51,41 +85,47 @@
 
 void AttemptLog::onRetry(policy::Timestamp now, std::string_view request, std::uint32_t attempt,
                          std::string_view endpoint) {
-  std::string line("attempt-retried request=");
-  line.append(request).append(" attempt=").append(std::to_string(attempt));
-  line.append(" endpoint=").append(endpoint);
-  attempts_.log(now, line);
+  attempts_.log(now, attemptLine("attempt-retried", request, attempt, endpoint));
 }
 
 void AttemptLog::onFailure(policy::Timestamp now, std::string_view request, const AttemptOutcome& outcome,
-                           std::string_view endpoint) {
-  std::string line("attempt-failed request=");
-  line.append(request).append(" attempt=").append(std::to_string(outcome.key.attempt));
-  line.append(" endpoint=").append(endpoint).append(" outcome=").append(nameOf(outcome.outcome));
+                           std::string_view endpoint, Duration timeRemaining) {
+  std::string line = attemptLine("attempt-failed", request, outcome.key.attempt, endpoint);
+  line.append(" outcome=").append(nameOf(outcome.outcome));
   line.append(" reason=").append(nameOf(outcome.failureReason));
   line.append(" limit=").append(nameOf(outcome.limit));
   line.append(" received=").append(std::to_string(outcome.receivedBytes));
+  line.append(" silence_ms=").append(millisecondsText(outcome.silence));
+  line.append(" left_ms=").append(millisecondsText(timeRemaining));
   line.append(mayHaveExecuted(outcome.outcome) ? " executed=maybe" : " executed=no");
   attempts_.log(now, line);
 }
 
 void AttemptLog::onDelay(policy::Timestamp now, std::string_view request, const AttemptOutcome& outcome,
                          std::string_view endpoint) {
-  std::string line("response-delayed request=");
-  line.append(request).append(" attempt=").append(std::to_string(outcome.key.attempt));
-  line.append(" endpoint=").append(endpoint);
+  std::string line = attemptLine("response-delayed", request, outcome.key.attempt, endpoint);
   line.append(" received=").append(std::to_string(outcome.receivedBytes));
   attempts_.log(now, line);
 }
 
+void AttemptLog::onStreamed(policy::Timestamp now, std::string_view request, const AttemptOutcome& outcome,
+                            std::string_view endpoint, Duration timeRemaining) {
+  std::string line = attemptLine("response-streamed", request, outcome.key.attempt, endpoint);
+  line.append(" reason=").append(nameOf(outcome.streamReason));
+  line.append(" received=").append(std::to_string(outcome.receivedBytes));
+  line.append(" left_ms=").append(millisecondsText(timeRemaining));
+  attempts_.log(now, line);
+}
+
+void AttemptLog::onClientLeft(policy::Timestamp now, std::string_view request, std::uint32_t attempts,
+                              Duration timeRemaining) {
+  replies_.log(now, requestLine("client-left", request, attempts, timeRemaining));
+}
+
 void AttemptLog::onRefusal(policy::Timestamp now, std::string_view request, ReplyStatus status,
-                           std::uint32_t attempts, policy::Duration timeRemaining) {
-  using std::chrono::milliseconds;
-  std::string line(status == ReplyStatus::rejected ? "request-rejected" : "request-failed");
-  line.append(" request=").append(request).append(" attempts=").append(std::to_string(attempts));
-  const auto left = std::chrono::duration_cast<milliseconds>(timeRemaining).count();
-  line.append(" left_ms=").append(std::to_string(left));
-  replies_.log(now, line);
+                           std::uint32_t attempts, Duration timeRemaining) {
+  const std::string_view event = status == ReplyStatus::rejected ? "request-rejected" : "request-failed";
+  replies_.log(now, requestLine(event, request, attempts, timeRemaining));
 }
 
 }  // namespace cairnjunction
--- a/src/core/attempt_log.hpp
+++ b/src/core/attempt_log.hpp
@@ -16,21 +16,27 @@
 std::string_view nameOf(policy::Outcome outcome);
 std::string_view nameOf(policy::FailureReason reason);
 std::string_view nameOf(AttemptLimit limit);
+std::string_view nameOf(StreamReason reason);
 
 class AttemptLog {
  public:
   explicit AttemptLog(const RateLimitedLog::Write& write) : attempts_(write), replies_(write) {}
 
-  // `endpoint`: its address in the list.
+  // `endpoint`: its address in the list. `timeRemaining`: of the request's client; below 0: its time is over.
   void onRetry(policy::Timestamp now, std::string_view request, std::uint32_t attempt,
                std::string_view endpoint);
   void onFailure(policy::Timestamp now, std::string_view request, const AttemptOutcome& outcome,
-                 std::string_view endpoint);
+                 std::string_view endpoint, policy::Duration timeRemaining);
   // The answer is under way, and more of it is awaited than the load balancer's limit allowed for.
   void onDelay(policy::Timestamp now, std::string_view request, const AttemptOutcome& outcome,
                std::string_view endpoint);
-  // The request gets a reply other than ReplyStatus::ok. `attempts`: number of those that were started;
-  // `timeRemaining`: of its client.
+  // The client is sent what has come of the answer, and the rest of it while it comes.
+  void onStreamed(policy::Timestamp now, std::string_view request, const AttemptOutcome& outcome,
+                  std::string_view endpoint, policy::Duration timeRemaining);
+  // The client has left before its reply.
+  void onClientLeft(policy::Timestamp now, std::string_view request, std::uint32_t attempts,
+                    policy::Duration timeRemaining);
+  // The request gets a reply other than ReplyStatus::ok. `attempts`: number of those that were started.
   void onRefusal(policy::Timestamp now, std::string_view request, ReplyStatus status, std::uint32_t attempts,
                  policy::Duration timeRemaining);
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -67,6 +67,8 @@
 void Engine::clientDisconnected(CallId id) {
   ActiveCall* const call = calls_.find(id);
   if (call == nullptr || call->settled) return;
+  const Timestamp now = runtime_.now();
+  attemptLog_.onClientLeft(now, call->call.externalId, call->attemptsStarted, call->deadline - now);
   call->settled = true;
   calls_.stopAwaitingReply();
   calls_.markPossiblyFinished(id);
@@ -111,6 +113,9 @@
   }
   if (!wasDelayed) --call->attemptsInFlight;
   call->responsePhase = ResponsePhase::streamed;
+  const Timestamp now = runtime_.now();
+  attemptLog_.onStreamed(now, call->call.externalId, outcome, balancer_.address(outcome.endpoint),
+                         call->deadline - now);
   reply(outcome.key.call, *call, {ReplyStatus::ok, std::move(outcome.response), {}});
   // `call` may be dangling by now: its client may have disconnected during the reply.
   if (!wasDelayed) reportToLoadBalancer(outcome, true);
@@ -177,7 +182,9 @@
 }
 
 void Engine::logFailure(const ActiveCall& call, const AttemptOutcome& outcome) {
-  attemptLog_.onFailure(runtime_.now(), call.call.externalId, outcome, balancer_.address(outcome.endpoint));
+  const Timestamp now = runtime_.now();
+  attemptLog_.onFailure(now, call.call.externalId, outcome, balancer_.address(outcome.endpoint),
+                        call.deadline - now);
 }
 
 void Engine::reportToLoadBalancer(const AttemptOutcome& outcome, bool callSettled) {
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -248,9 +248,7 @@
   if (reader_.outcome() != Outcome::served) return end(reader_.outcome());
   if (onlyTransferring_ || !events_.delayed) return;
   excludeFromCounts();
-  AttemptOutcome delayed = servedOutcome(responseBegunAt_ - deadlines_.startedAt, {});
-  delayed.receivedBytes = reader_.receivedBytes();
-  events_.delayed(std::move(delayed));
+  events_.delayed(servedOutcome(responseBegunAt_ - deadlines_.startedAt, {}));
 }
 
 // An attempt may end, by a timeout or by cancel(), while a completed read is still queued in the event loop.
@@ -262,7 +260,9 @@
                           [self = shared_from_this()](const error_code& ec, std::size_t bytes) {
                             if (self->phase_ != Phase::reading) return;
                             if (ec) return self->onReadFailed(ec);
-                            if (self->reader_.receivedBytes() == 0) self->responseBegunAt_ = Clock::now();
+                            self->lastReceivedAt_ = Clock::now();
+                            if (self->reader_.receivedBytes() == 0)
+                              self->responseBegunAt_ = self->lastReceivedAt_;
                             self->reader_.commit(bytes);
                             self->onReceived();
                           });
@@ -310,12 +310,13 @@
   if (reader_.isStreaming()) {
     limitSilence();
   } else {
-    if (!reader_.exceedsBuffer() && !exceedsMemory()) return true;
+    const StreamReason reason = streamReason();
+    if (reason == StreamReason::none) return true;
     if (reader_.outcome() != Outcome::served || !mayStream_) {
       end(Outcome::error, FailureReason::malformedResponse);
       return false;
     }
-    startStreaming();
+    startStreaming(reason);
     if (phase_ != Phase::reading || !reader_.isStreaming()) return false;  // ended by the callback
   }
   readingPaused_ = reader_.streamRoom() == 0;
@@ -324,7 +325,12 @@
   return !readingPaused_;
 }
 
-void HttpConnection::startStreaming() {
+StreamReason HttpConnection::streamReason() const {
+  if (reader_.exceedsBuffer()) return StreamReason::size;
+  return exceedsMemory() ? StreamReason::memory : StreamReason::none;
+}
+
+void HttpConnection::startStreaming(StreamReason reason) {
   const auto stream = std::make_shared<BodyStream>(kStreamCapacityBytes);
   stream->onLeft = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->onStreamLeft();
@@ -333,6 +339,7 @@
     if (const auto self = weak.lock()) self->onStreamRoom();
   };
   AttemptOutcome started = servedOutcome(Clock::now() - deadlines_.startedAt, reader_.streamTo(stream));
+  started.streamReason = reason;
   limitSilence();
   excludeFromCounts();
   events_.started(std::move(started));
@@ -346,9 +353,15 @@
 AttemptOutcome HttpConnection::servedOutcome(Duration elapsed, Message response) const {
   AttemptOutcome outcome{key_, endpoint_, Outcome::served, elapsed, std::move(response)};
   outcome.connectionUse = connectionUse();
+  outcome.receivedBytes = reader_.receivedBytes();
   return outcome;
 }
 
+// Since the latest byte of the current response.
+Duration HttpConnection::silence() const {
+  return reader_.receivedBytes() > 0 ? Clock::now() - lastReceivedAt_ : Duration::zero();
+}
+
 void HttpConnection::onStreamRoom() {
   if (!readingPaused_ || phase_ != Phase::reading) return;
   readingPaused_ = false;
@@ -450,6 +463,7 @@
   ended.connectionUse = connectionUse();
   ended.limit = std::exchange(expiredLimit_, AttemptLimit::none);
   ended.receivedBytes = reader_.receivedBytes();
+  ended.silence = silence();
   openedForAttempt_ = false;
   const auto stream = reader_.takeStream();
   auto message = reader_.takeMessage();
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -93,8 +93,10 @@
   void onReadFailed(const boost::system::error_code& ec);
   void chargeResponse();
   bool exceedsMemory() const;
+  StreamReason streamReason() const;
+  policy::Duration silence() const;
   bool streamBody();
-  void startStreaming();
+  void startStreaming(StreamReason reason);
   void excludeFromCounts();
   AttemptOutcome servedOutcome(policy::Duration elapsed, Message response) const;
   void onStreamRoom();
@@ -135,6 +137,7 @@
   ResponseReader reader_;
   MemoryCharge responseCharge_;        // for what the reader holds
   Clock::time_point responseBegunAt_;  // the first byte of the current response
+  Clock::time_point lastReceivedAt_;   // its latest byte
   Clock::time_point silentSince_;
   policy::Duration connectTime_{};
   policy::Duration firstSilence_{};  // before the first request
