--- a/tests/soak/answer_plan.cpp
+++ b/tests/soak/answer_plan.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::string_view kMark = "plan.";
 constexpr milliseconds kStep{20};
-constexpr int kLumps = 4;
+constexpr int kLumps = 3;
 constexpr int kHeadPieces = 3;
 
 // Reads the number before the next dot of `text` and removes both.
@@ -77,6 +77,10 @@
   return body;
 }
 
+milliseconds headDuration(const AnswerPlan& plan) {
+  return plan.shape == AnswerShape::headInPieces ? plan.duration / 2 : milliseconds(0);
+}
+
 std::vector<AnswerPiece> planPieces(const AnswerPlan& plan, std::size_t headBytes, std::size_t textBytes) {
   std::vector<AnswerPiece> pieces;
   const milliseconds none{0};
@@ -88,8 +92,8 @@
       appendEvenly(pieces, headBytes, textBytes, none, plan.duration, stepsWithin(plan.duration));
       break;
     case AnswerShape::lumps:
-      pieces.push_back({none, textBytes / (2 * kLumps)});
-      appendEvenly(pieces, textBytes / (2 * kLumps), textBytes, none, plan.duration, kLumps);
+      pieces.push_back({none, std::max(headBytes, textBytes / kLumps)});
+      appendEvenly(pieces, pieces.front().end, textBytes, none, plan.duration, kLumps - 1);
       break;
     case AnswerShape::lateBody: {
       const milliseconds late = plan.duration * 3 / 4;
@@ -99,9 +103,9 @@
     }
     case AnswerShape::headInPieces:
       pieces.push_back({none, headBytes / 4});
-      appendEvenly(pieces, headBytes / 4, headBytes, none, plan.duration / 2, kHeadPieces);
-      appendEvenly(pieces, headBytes, textBytes, plan.duration / 2, plan.duration,
-                   stepsWithin(plan.duration / 2));
+      appendEvenly(pieces, headBytes / 4, headBytes, none, headDuration(plan), kHeadPieces);
+      appendEvenly(pieces, headBytes, textBytes, headDuration(plan), plan.duration,
+                   stepsWithin(plan.duration - headDuration(plan)));
       break;
     case AnswerShape::stalled:
       pieces.push_back({none, headBytes});
--- a/tests/soak/answer_plan.hpp
+++ b/tests/soak/answer_plan.hpp
@@ -15,7 +15,7 @@
 
 enum class AnswerShape {
   steady,        // in small pieces all the time
-  lumps,         // in four pieces
+  lumps,         // in three pieces, the first at once
   lateBody,      // the head at once, the body towards the end
   headInPieces,  // the head takes half of the time
   interim,       // a 103 at once, then steady
@@ -50,6 +50,9 @@
   std::chrono::milliseconds at{0};
   std::size_t end = 0;
 };
+// From the first byte on, until the head is whole.
+std::chrono::milliseconds headDuration(const AnswerPlan& plan);
+
 // `headBytes`: of the text's beginning.
 std::vector<AnswerPiece> planPieces(const AnswerPlan& plan, std::size_t headBytes, std::size_t textBytes);
 
--- a/tests/soak/slow_answer_client.cpp
+++ b/tests/soak/slow_answer_client.cpp
@@ -22,6 +22,7 @@
 constexpr int kLongestThinkMs = 10;
 constexpr std::uint64_t kTagsOfEach = 1'000'000;
 constexpr int kRejectedCode = -32001;
+constexpr std::uint64_t kBodyMost = 64 << 20;
 
 }  // namespace
 
@@ -114,14 +115,23 @@
     return;
   }
   response_.emplace();
-  response_->body_limit(boost::none);
-  http::async_read(socket_, buffer_, *response_,
-                   [self = shared_from_this()](error_code ec, std::size_t) { self->onHttpResponse(ec); });
+  response_->body_limit(kBodyMost);
+  http::async_read_header(socket_, buffer_, *response_,
+                          [self = shared_from_this()](error_code ec, std::size_t) { self->onHttpHead(ec); });
+}
+
+void SlowAnswerClient::onHttpHead(error_code ec) {
+  if (current_ == nullptr) return;
+  if (ec) return endRequest(End::closed, false);
+  if (response_->get().result() == http::status::ok) current_->begun = Clock::now();
+  http::async_read(socket_, buffer_, *response_, [self = shared_from_this()](error_code failed, std::size_t) {
+    self->onHttpResponse(failed);
+  });
 }
 
 void SlowAnswerClient::onHttpResponse(error_code ec) {
   if (current_ == nullptr) return;
-  if (ec) return endRequest(response_->is_header_done() ? End::broken : End::closed, false);
+  if (ec) return endRequest(End::broken, false);
   const auto& message = response_->get();
   const bool keep = message.keep_alive();
   switch (message.result()) {
--- a/tests/soak/slow_answer_client.hpp
+++ b/tests/soak/slow_answer_client.hpp
@@ -38,6 +38,7 @@
   AnswerPlan plan;
   std::chrono::milliseconds deadline{0};
   std::chrono::steady_clock::time_point sent, ended;
+  std::optional<std::chrono::steady_clock::time_point> begun;  // the head of an answer 200 had come
   End end = End::open;
 };
 
@@ -66,6 +67,7 @@
   std::string httpText() const;
   std::string jsonRpcText() const;
   void receive();
+  void onHttpHead(boost::system::error_code ec);
   void onHttpResponse(boost::system::error_code ec);
   void onJsonRpcLine(boost::system::error_code ec, std::size_t bytes);
   void endRequest(PlannedRequest::End end, bool keep);
--- a/tests/soak/slow_answer_run.cpp
+++ b/tests/soak/slow_answer_run.cpp
@@ -35,15 +35,16 @@
 constexpr milliseconds kKillAfter{2000 + 700};   // SIGTERM: the longest deadline and 0.7 s
 constexpr milliseconds kLastAnswersBefore{300};  // the kill
 constexpr milliseconds kCrossesTheCut{60};       // what ends so shortly before a deadline may miss it
+constexpr milliseconds kLateAnswerWait{300};     // past the deadline, for a head or an undivided answer
+constexpr milliseconds kSilenceMost{10'000};     // within an answer, before it may be broken off
 constexpr milliseconds kBeginsInTime{25};        // before the objective, to count as under way there
 constexpr milliseconds kObjectiveReserve{20};    // that the gateway keeps before it
 constexpr int kReadBytesPerMs = 2000;            // at most; a host reads up to 64 KiB every 20 ms
 constexpr double kTakenAheadBytes = 256 << 10;   // by the system of a host
 constexpr double kReadTimeFactor = 1.25;         // of the planned time: each step waits for the one before
-constexpr milliseconds kLastAnswers{4500};
+constexpr milliseconds kLastAnswers = kSilenceMost + milliseconds(1500);
 constexpr milliseconds kStep{5};
-constexpr milliseconds kReconnectFor{300};        // new connections behind SIGTERM
-constexpr std::size_t kStreamedSurely = 1 << 20;  // bytes of a steady answer that is passed on while it comes
+constexpr milliseconds kReconnectFor{300};  // new connections behind SIGTERM
 constexpr std::size_t kJsonRpcBytesMost = 60'000;
 const char* const kZones[] = {"brasov", "cluj"};
 
@@ -99,12 +100,22 @@
                                      65'536, 65'537, 100'000, 170'000, 300'000, 1 << 20, 4 << 20};
     const std::size_t most = jsonRpc_ ? kJsonRpcBytesMost : options_.largestBytes;
     // JSON has no empty result.
-    return std::clamp<std::size_t>(sizes[random() % std::size(sizes)], jsonRpc_ ? 1 : 0, most);
+    const std::size_t least = std::max<std::size_t>(options_.smallestBytes, jsonRpc_ ? 1 : 0);
+    return std::clamp<std::size_t>(sizes[random() % std::size(sizes)], std::min(least, most), most);
+  }
+
+  // How far behind the client's time a late answer ends; some end just before it. An answer that is not
+  // passed on in parts has the time of a late reply.
+  milliseconds drawLateness(std::mt19937_64& random) const {
+    constexpr int most[] = {40, 300, 1000, 3000};
+    const std::size_t kinds = jsonRpc_ ? 2 : std::size(most);
+    return milliseconds(draw(random, -40, most[random() % kinds]));
   }
 
   void drawAnswer(SlowWork work, PlannedRequest& request, std::mt19937_64& random) const {
     AnswerPlan& plan = request.plan;
     plan.shape = static_cast<AnswerShape>(draw(random, 0, kSoundAnswerShapes - 1));
+    if (options_.shape) plan.shape = *options_.shape;
     plan.framing = static_cast<AnswerFraming>(draw(random, 0, 2));
     plan.bytes = drawBytes(random);
     plan.start = milliseconds(draw(random, 0, 40));
@@ -118,7 +129,7 @@
             draw(random, 60'000, kReadBytesPerMs * static_cast<int>(plan.readWithin.count())));
         return;
       case SlowWork::silentAnswers: plan.shape = AnswerShape::stalled; return;
-      case SlowWork::lateAnswers: plan.duration = milliseconds(left + draw(random, 50, 600)); return;
+      case SlowWork::lateAnswers: plan.duration = milliseconds(left) + drawLateness(random); return;
       case SlowWork::soundAnswers:
       case SlowWork::mixed: plan.duration = milliseconds(draw(random, left / 5, left - 100)); return;
     }
@@ -279,6 +290,13 @@
     if (run.firstByte &&
         *run.firstByte + request.plan.duration > request.sent + timesOf(request.className).objective)
       ++result.counted["run past the objective"];
+    if (run.firstByte && *run.firstByte + request.plan.duration > request.sent + request.deadline)
+      ++result.counted["run past the client's time"];
+    const bool begunInTime = request.begun && *request.begun <= request.sent + request.deadline;
+    if (mustBeginInTime(request, run) && !begunInTime) {
+      ++result.counted["not begun in time"];
+      result.findings.push_back("not begun in time: " + describe(request, runs));
+    }
     if (mustBeServed(request, run) && request.end != End::served) {
       ++result.counted["cut off"];
       result.findings.push_back("cut off: " + describe(request, runs));
@@ -310,33 +328,55 @@
       case End::rejected: add("rejected", false); break;
       case End::failed: add("failed", false); break;
       case End::servedWrong: return add("served with another answer", true);
-      // An answer that its host did not end in time may be broken off; mustBeServed has the others.
-      case End::broken: add("broken", !isWorkPastTime(request) && !mayBeLostInStop(request)); break;
+      // The client of a host that has fallen silent has to be told so.
+      case End::broken:
+        add("broken", request.plan.shape != AnswerShape::stalled && !mayBeLostInStop(request));
+        break;
       case End::closed: return add("closed without an answer", !mayBeUnreadInStop(request, runs));
       case End::open: return add("not answered", !mayBeUnreadInStop(request, runs));
     }
-    const bool goesOn = request.end == End::served && isWorkPastTime(request);
-    if (request.ended > request.sent + request.deadline + kLateMost && !goesOn) add("late", true);
+    if (request.ended > endDueBy(request, runs)) add("late", true);
+  }
+
+  bool isPassedOn(const PlannedRequest& request) const {
+    return options_.hosts == HostProtocol::http && request.protocol == ClientProtocol::http;
+  }
+
+  // A final answer is due in the client's time. One that has begun by then goes on for as long as its host
+  // writes, and until it has been silent for too long.
+  Clock::time_point endDueBy(const PlannedRequest& request, const std::vector<HostRun>& runs) const {
+    auto due = request.sent + request.deadline;
+    const bool goesOn = request.end == End::served || request.end == End::broken;
+    if (goesOn && request.begun && isPassedOn(request) && !runs.empty()) {
+      const bool isSilent = request.plan.shape == AnswerShape::stalled;
+      due = std::max(due, runs.back().lastWrite + (isSilent ? kSilenceMost : milliseconds(0)));
+    }
+    return due + kLateMost;
+  }
+
+  // The answer was under way at the objective, as far as the gateway can know.
+  static bool isBegunInTime(const PlannedRequest& request, const HostRun& run) {
+    return run.firstByte && *run.firstByte < request.sent + objectiveOf(request) - kBeginsInTime;
   }
 
-  // Whether the host's answer goes on past the client's time, or never ends.
-  static bool isWorkPastTime(const PlannedRequest& request) {
-    return request.plan.shape == AnswerShape::stalled ||
-           request.plan.start + request.plan.duration + kCrossesTheCut > request.deadline;
+  // The head of the answer was whole at the gateway in the client's time: its client has it by then.
+  bool mustBeginInTime(const PlannedRequest& request, const HostRun& run) const {
+    if (!isPassedOn(request) || request.plan.readWithin.count() > 0 || !isBegunInTime(request, run))
+      return false;
+    const auto headAt = *run.firstByte + headDuration(request.plan);
+    if (stoppedAt_ && headAt > *stoppedAt_ + kKillAfter - kLastAnswersBefore) return false;
+    return headAt + kCrossesTheCut < request.sent + request.deadline;
   }
 
-  // The answer was under way at the objective and was, or would have been, whole in its client's time.
+  // The answer was under way at the objective. If it is passed on, its head is there before the client's time
+  // or shortly behind it; if not, the whole of it.
   bool mustBeServed(const PlannedRequest& request, const HostRun& run) const {
     if (request.plan.shape == AnswerShape::stalled || request.plan.readWithin.count() > 0) return false;
-    const auto deadline = request.sent + request.deadline - kCrossesTheCut;
-    if (!run.firstByte) return false;
+    if (!isBegunInTime(request, run)) return false;
     const auto end = *run.firstByte + request.plan.duration;
-    const bool begunInTime = *run.firstByte < request.sent + objectiveOf(request) - kBeginsInTime;
-    const bool streamedPast =
-        options_.hosts == HostProtocol::http && request.protocol == ClientProtocol::http &&
-        request.plan.shape == AnswerShape::steady && request.plan.bytes >= kStreamedSurely;
     if (stoppedAt_ && end > *stoppedAt_ + kKillAfter - kLastAnswersBefore) return false;
-    return begunInTime && (end < deadline || streamedPast);
+    const auto needed = isPassedOn(request) ? *run.firstByte + headDuration(request.plan) : end;
+    return needed + kCrossesTheCut < request.sent + request.deadline + kLateAnswerWait;
   }
 
   // A host was reading the request, and would have answered it in its client's time.
@@ -390,6 +430,8 @@
     const bool playsPast = options_.work == SlowWork::soundAnswers || options_.work == SlowWork::lateAnswers;
     if (playsPast && result.counted["run past the objective"] == 0)
       result.findings.push_back("nothing was played past its objective");
+    if (options_.work == SlowWork::lateAnswers && result.counted["run past the client's time"] == 0)
+      result.findings.push_back("nothing was played past its client's time");
   }
 
   const SlowAnswerRunOptions options_;
--- a/tests/soak/slow_answer_run.hpp
+++ b/tests/soak/slow_answer_run.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,7 @@
 // What the requests of a run ask of their hosts.
 enum class SlowWork {
   soundAnswers,   // answers that are whole before their client's time is over
-  lateAnswers,    // answers that go on past it
+  lateAnswers,    // answers whose head comes within it and that end shortly before it, or go on past it
   silentAnswers,  // answers that begin and fall silent for ever, among sound ones
   slowReads,      // large requests that are read slowly and answered at once
   mixed           // each request draws one of the others
@@ -40,8 +41,9 @@
   int hostCount = 6;
   int httpClients = 3;
   int jsonRpcClients = 2;
-  int crowd = 0;  // clients that write, stop and read slowly
-  std::size_t largestBytes = 4 << 20;
+  int crowd = 0;                                          // clients that write, stop and read slowly
+  std::size_t smallestBytes = 0, largestBytes = 4 << 20;  // of an answer
+  std::optional<AnswerShape> shape;                       // of all answers; empty: drawn for each
   std::chrono::milliseconds length{5000};
 };
 
--- a/tests/soak/slow_answer_soak.cpp
+++ b/tests/soak/slow_answer_soak.cpp
@@ -32,6 +32,10 @@
                                                         {"drain", Disturbance::drain}};
   const std::map<std::string, HostProtocol> protocols{{"http", HostProtocol::http},
                                                       {"json-rpc", HostProtocol::jsonRpc}};
+  const std::map<std::string, AnswerShape> shapes{
+      {"steady", AnswerShape::steady},      {"lumps", AnswerShape::lumps},
+      {"late-body", AnswerShape::lateBody}, {"head-in-pieces", AnswerShape::headInPieces},
+      {"interim", AnswerShape::interim},    {"noise-behind", AnswerShape::noiseBehind}};
   app.add_option("PROGRAM", options.program, "the gateway")->required();
   app.add_option("--work", options.work, "")->transform(CLI::CheckedTransformer(works));
   app.add_option("--disturbance", options.disturbance, "")->transform(CLI::CheckedTransformer(disturbances));
@@ -40,7 +44,9 @@
   app.add_option("--http-clients", options.httpClients, "")->capture_default_str();
   app.add_option("--jsonrpc-clients", options.jsonRpcClients, "")->capture_default_str();
   app.add_option("--crowd", options.crowd, "clients that write, stop and read slowly")->capture_default_str();
+  app.add_option("--smallest", options.smallestBytes, "answer, in bytes")->capture_default_str();
   app.add_option("--largest", options.largestBytes, "answer, in bytes")->capture_default_str();
+  app.add_option("--shape", options.shape, "of all answers")->transform(CLI::CheckedTransformer(shapes));
   app.add_option("--seed", options.seed, "of the first run")->capture_default_str();
   app.add_option("--runs", runs, "")->capture_default_str();
   app.add_option("--length", lengthMs, "of a run, in ms")->capture_default_str();
--- a/tests/soak/slow_host.cpp
+++ b/tests/soak/slow_host.cpp
@@ -125,6 +125,7 @@
                       [self = shared_from_this()](error_code ec, std::size_t bytes) {
                         if (!self->answering_) return;
                         self->run().written += bytes;
+                        self->run().lastWrite = Clock::now();
                         if (ec) return self->onClosed();
                         self->onPieceWritten();
                       });
--- a/tests/soak/slow_host.hpp
+++ b/tests/soak/slow_host.hpp
@@ -24,6 +24,7 @@
   using Clock = std::chrono::steady_clock;
   Clock::time_point received;                            // its request was whole
   std::optional<Clock::time_point> firstByte, lastByte;  // written of the final answer
+  Clock::time_point lastWrite;                           // of any piece of it
   std::optional<Clock::time_point> cut;                  // the gateway closed the connection before the end
   std::size_t written = 0;                               // bytes of the answer
   std::string deadlineMs;                                // that the gateway has passed on; empty: none
