A pause within an answer that is passed on is no end, also behind the client's time

What callers saw: 107,064 of 142,579 bytes of an answer and then the end of the connection, 289 ms behind the client's time; its host had paused for 0.8 s and was on time. Cause: limitSilence counted the client's time: 10 s of silence before it, 0.3 s behind it. By 0.3 s a pause can't be told from an end. Change: silence is counted between two reads alone, one limit (responseSilence, 10 s). Why it works: an answer whose bytes come reaches no timer that knows the client's time. What it costs: the client of a host that dies without a word amid its answer learns of it 10 s after the last byte, where it was 0.3 s behind its time; a reset or an end is passed on at once, as before.

--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -25,12 +25,8 @@
 
 // Buffer of a streamed response: a few reads only, since there may be one for each client connection.
 constexpr std::size_t kStreamCapacityBytes = 32 << 10;
-// Limits how long an endpoint that stops sending within a response, or a client that stops reading, occupies
-// the connection.
-constexpr Duration kStallTimeout = std::chrono::seconds(10);
-// Silence of an endpoint within a streamed response, once the client's time is over: the client is owed an
-// end within half a second.
-constexpr Duration kLateSilenceTimeout = std::chrono::milliseconds(300);
+// Limits how long a client that stops reading a streamed response occupies the connection.
+constexpr Duration kUnreadTimeout = std::chrono::seconds(10);
 // An endpoint that has taken bytes of the request within this time before the limit, or within half of the
 // time until it, is not silent.
 constexpr Duration kRequestProgressInterval = std::chrono::milliseconds(300);
@@ -321,7 +317,7 @@
   }
   readingPaused_ = reader_.streamRoom() == 0;
   // Now it is the client that is waited for, and its response is limited by the frontend too.
-  if (readingPaused_) endAt(Clock::now() + kStallTimeout, AttemptLimit::silence, Outcome::reset);
+  if (readingPaused_) endAt(Clock::now() + kUnreadTimeout, AttemptLimit::silence, Outcome::reset);
   return !readingPaused_;
 }
 
@@ -369,12 +365,10 @@
   receive();
 }
 
-// Ends the attempt if the endpoint sends nothing more of a streamed response. A response that makes progress
-// may go on past the client's time, for as long as the client stays.
+// Ends the attempt if the endpoint sends nothing more of a streamed response. One that makes progress goes on
+// for as long as the client stays, also past the client's time.
 void HttpConnection::limitSilence() {
-  const auto now = Clock::now();
-  const auto late = std::max(now, deadlines_.clientWaitsUntil) + kLateSilenceTimeout;
-  callAt(std::min(now + kStallTimeout, late), &HttpConnection::onSilence);
+  callAt(Clock::now() + pool_.limits().responseSilence, &HttpConnection::onSilence);
 }
 
 // Looks at the socket first, since the timer may have been handled before a read that is ready as well.
--- a/src/http/upstream_pool.hpp
+++ b/src/http/upstream_pool.hpp
@@ -32,6 +32,9 @@
   // Memory for responses that are not passed on yet, in bytes, and the account that they are charged to.
   std::size_t responseBytes = std::numeric_limits<std::size_t>::max();
   std::shared_ptr<MemoryAccount> memory = nullptr;  // null: they are not charged
+  // Longest silence between two reads of a response that is streamed. Its client can't tell a pause of the
+  // endpoint from its end, so a response is broken off only after more than an endpoint pauses.
+  policy::Duration responseSilence = std::chrono::seconds(10);
 };
 
 // Bytes that an endpoint sent without being asked.
