An answer that is under way at the client's time is passed on

The class: an answer that has begun is ended by the clock of somebody who still waits for it. Change: 0.15 s before the client's time what has come is passed on, whatever its size, and the rest while it comes; a head that is not whole by then, and an answer whose client takes it only as a whole (JSON-RPC), has 0.3 s behind it. The load balancer is told then at the latest, so that it does not end the request itself. A 503 that never ran behind such a report is a rejection for all classes. Why it works: the client's time bounds the begin of its final answer; from then on no timer knows it.

--- a/src/core/attempt.hpp
+++ b/src/core/attempt.hpp
@@ -38,7 +38,7 @@
   // A request whose last byte is not written within this time is never completed, so it is not executed.
   // Duration::max(): no limit.
   policy::Duration write;
-  // At least `responseStart`: until the client's time is over. An answer that has begun goes on until then.
+  // At least `responseStart`: until the client's time is over. Its final answer begins by then.
   policy::Duration client;
 };
 
@@ -47,14 +47,15 @@
   none,           // it ended for another reason
   responseStart,  // the answer did not begin in time
   silence,        // of the endpoint, or of the client's reading, within an answer that is streamed
-  clientTime      // the answer had begun, and was not whole when the client's time was over
+  clientTime      // the client's time was over, and of the answer too little had come to be streamed
 };
 
 // Why a response is streamed to its client before it is complete.
 enum class StreamReason {
-  none,   // it is not
-  size,   // it exceeds what is buffered of one response
-  memory  // the responses that are buffered exceed their share of the memory
+  none,       // it is not
+  size,       // it exceeds what is buffered of one response
+  memory,     // the responses that are buffered exceed their share of the memory
+  clientTime  // the client's time is about to be over
 };
 
 struct AttemptOutcome {
@@ -77,8 +78,9 @@
 // Call::acceptsStreaming.
 using ResponseStarted = std::function<void(AttemptOutcome)>;
 
-// Called when an answer that can be served has begun but is not complete at the end of
-// AttemptTimeouts::responseStart. The upstream goes on to receive it. `elapsed` counts until its first byte,
+// Called when an answer has begun but is not complete, and so can't be served yet: at the end of
+// AttemptTimeouts::responseStart if its head says that it can be served, and when the client's time is about
+// to be over even if its head is not whole. The upstream goes on to receive it. `elapsed` counts until its first byte,
 // `response` is empty. The end of the attempt is reported separately.
 using ResponseDelayed = std::function<void(AttemptOutcome)>;
 
--- a/src/core/attempt_log.cpp
+++ b/src/core/attempt_log.cpp
@@ -69,6 +69,7 @@
     case StreamReason::none: return "none";
     case StreamReason::size: return "size";
     case StreamReason::memory: return "memory";
+    case StreamReason::clientTime: return "client-time";
   }
   return "unknown";
 }
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -170,7 +170,8 @@
   if (!served) logFailure(call, outcome);
   if (call.settled) return;
   if (served) return reply(id, call, {ReplyStatus::ok, std::move(outcome.response), {}});
-  reply(id, call, {call.isSafe ? ReplyStatus::rejected : ReplyStatus::failed, {}, {}});
+  const bool isRepeatable = call.isSafe || !mayHaveExecuted(outcome.outcome);
+  reply(id, call, {isRepeatable ? ReplyStatus::rejected : ReplyStatus::failed, {}, {}});
 }
 
 void Engine::finishStreamed(CallId id, ActiveCall& call, const AttemptOutcome& outcome) {
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -72,7 +72,7 @@
   void responseStarted(AttemptOutcome outcome);
   // From the upstream: an answer has begun and is not complete when it should have been. The endpoint has
   // answered by then, so the load balancer treats the attempt as ended and served, and the rest of the answer
-  // is awaited until the client's time is over. responseStarted may follow, and attemptEnded does.
+  // is awaited. responseStarted may follow, and attemptEnded does.
   void responseDelayed(const AttemptOutcome& outcome);
   // From the upstream, at every change of the number of connections. It may be called while the upstream
   // iterates over its endpoints, so it executes no actions: its consequences are applied before the next
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -210,27 +210,21 @@
 void HttpConnection::beginReading() {
   phase_ = Phase::reading;
   readingPaused_ = false;
+  responseBegun_ = false;
   responseDelayed_ = false;
+  lateReplyLimited_ = false;
   reader_.begin();
-  if (requestDelayed_) awaitDelayedResponse();
+  if (requestDelayed_) callAt(deadlines_.clientWaitsUntil, &HttpConnection::onClientTime);
   else callAt(progressSampleAt(deadlines_.responseStartBy), &HttpConnection::watchRequestProgress);
   receive();
 }
 
 // The load balancer's limit is there to decide on a retry, or on giving up a silent endpoint. A response that
-// has begun is neither: the rest of it is awaited as long as the client waits.
+// has begun is neither: the rest of it is awaited.
 void HttpConnection::onResponseStartLimit() {
-  if (!hasResponseBegun() && !isRequestBeingTaken()) {
-    expiredLimit_ = AttemptLimit::responseStart;
-    return end(Outcome::timeout);
-  }
-  awaitDelayedResponse();
-  if (reader_.isBuffering()) awaitRest();
-}
-
-void HttpConnection::awaitDelayedResponse() {
-  responseDelayed_ = true;
-  endAt(deadlines_.clientWaitsUntil, AttemptLimit::clientTime, Outcome::timeout);
+  if (hasResponseBegun() || isRequestBeingTaken()) return delayResponse();
+  expiredLimit_ = AttemptLimit::responseStart;
+  end(Outcome::timeout);
 }
 
 // Also looks at the socket, since the timer may have been handled before a read that is ready as well.
@@ -238,10 +232,53 @@
   return reader_.hasBegun() || peekInput(socket_) != SocketInput::none;
 }
 
-// The head of a delayed response is known.
-void HttpConnection::awaitRest() {
+// More of a response has been read that is not complete and not streamed.
+void HttpConnection::onResponseProgress() {
+  if (!reader_.hasBegun()) return;
+  const auto now = Clock::now();
+  if (now >= deadlines_.passOnAt) return passOn();
+  if (!std::exchange(responseBegun_, true) && deadlines_.passOnAt < deadlines_.responseStartBy)
+    callAt(deadlines_.passOnAt, &HttpConnection::onClientTimeNear);
+  if (responseDelayed_) delayResponse();
+}
+
+// The limit for the begin of the response has passed.
+void HttpConnection::delayResponse() {
+  if (!std::exchange(responseDelayed_, true)) callAt(deadlines_.passOnAt, &HttpConnection::onClientTimeNear);
+  if (!reader_.isBuffering()) return;
   // Of any other status nothing more has to be known.
   if (reader_.outcome() != Outcome::served) return end(reader_.outcome());
+  reportDelay();
+}
+
+void HttpConnection::onClientTimeNear() {
+  if (hasResponseBegun()) passOn();
+  else callAt(deadlines_.clientWaitsUntil, &HttpConnection::onClientTime);
+}
+
+// The endpoint still took the request when its response should have begun.
+void HttpConnection::onClientTime() {
+  if (hasResponseBegun()) return passOn();
+  expiredLimit_ = AttemptLimit::clientTime;
+  end(Outcome::timeout);
+}
+
+// The client's time is about to be over, or has been since before the response began: what has come of it is
+// passed on, and the rest while it comes. A response whose head is not complete, or whose client takes it
+// only as a whole, has until the latest time of a final answer.
+void HttpConnection::passOn() {
+  if (!std::exchange(lateReplyLimited_, true))
+    endAt(deadlines_.lateReplyAt, AttemptLimit::clientTime, Outcome::timeout);
+  responseDelayed_ = true;
+  if (!reader_.hasBegun()) return;  // a read is ready
+  if (reader_.isBuffering() && reader_.outcome() != Outcome::served) return end(reader_.outcome());
+  reportDelay();
+  if (phase_ == Phase::reading && reader_.isBuffering() && mayStream_)
+    startStreaming(StreamReason::clientTime);
+}
+
+// The load balancer counts the attempt as ended.
+void HttpConnection::reportDelay() {
   if (onlyTransferring_ || !events_.delayed) return;
   excludeFromCounts();
   events_.delayed(servedOutcome(responseBegunAt_ - deadlines_.startedAt, {}));
@@ -268,7 +305,7 @@
   switch (reader_.read()) {
     case ResponseReader::State::incomplete:
       chargeResponse();
-      if (responseDelayed_ && reader_.isBuffering()) awaitRest();
+      if (!reader_.isStreaming()) onResponseProgress();
       if (phase_ == Phase::reading && streamBody()) receive();
       return;
     case ResponseReader::State::complete: return onComplete();
@@ -304,7 +341,7 @@
 // the attempt has ended.
 bool HttpConnection::streamBody() {
   if (reader_.isStreaming()) {
-    limitSilence();
+    limitSilence(lastReceivedAt_);
   } else {
     const StreamReason reason = streamReason();
     if (reason == StreamReason::none) return true;
@@ -336,7 +373,7 @@
   };
   AttemptOutcome started = servedOutcome(Clock::now() - deadlines_.startedAt, reader_.streamTo(stream));
   started.streamReason = reason;
-  limitSilence();
+  limitSilence(lastReceivedAt_);
   excludeFromCounts();
   events_.started(std::move(started));
 }
@@ -361,19 +398,19 @@
 void HttpConnection::onStreamRoom() {
   if (!readingPaused_ || phase_ != Phase::reading) return;
   readingPaused_ = false;
-  limitSilence();
+  limitSilence(Clock::now());
   receive();
 }
 
 // Ends the attempt if the endpoint sends nothing more of a streamed response. One that makes progress goes on
 // for as long as the client stays, also past the client's time.
-void HttpConnection::limitSilence() {
-  callAt(Clock::now() + pool_.limits().responseSilence, &HttpConnection::onSilence);
+void HttpConnection::limitSilence(Clock::time_point silentFrom) {
+  callAt(silentFrom + pool_.limits().responseSilence, &HttpConnection::onSilence);
 }
 
 // Looks at the socket first, since the timer may have been handled before a read that is ready as well.
 void HttpConnection::onSilence() {
-  if (peekInput(socket_) != SocketInput::none) return limitSilence();
+  if (peekInput(socket_) != SocketInput::none) return limitSilence(Clock::now());
   expiredLimit_ = AttemptLimit::silence;
   end(Outcome::reset);
 }
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -84,9 +84,13 @@
   void onWriteLimit();
   void beginReading();
   void onResponseStartLimit();
-  void awaitDelayedResponse();
   bool hasResponseBegun();
-  void awaitRest();
+  void onResponseProgress();
+  void delayResponse();
+  void onClientTimeNear();
+  void onClientTime();
+  void passOn();
+  void reportDelay();
   void receive();
   void onReceived();
   void onComplete();
@@ -100,7 +104,7 @@
   void excludeFromCounts();
   AttemptOutcome servedOutcome(policy::Duration elapsed, Message response) const;
   void onStreamRoom();
-  void limitSilence();
+  void limitSilence(Clock::time_point silentFrom);
   void onSilence();
   void onStreamLeft();
   void end(policy::Outcome outcome, policy::FailureReason reason = policy::FailureReason::unknown,
@@ -148,7 +152,9 @@
   bool mayStream_ = false;           // the response of the current attempt may be streamed
   bool readingPaused_ = false;       // the stream is full; onStreamRoom() resumes reading
   bool requestDelayed_ = false;      // the endpoint still took the request at the limit for the response
-  bool responseDelayed_ = false;     // the rest of the response is awaited past its limit
+  bool responseBegun_ = false;       // a part of a final response has been read
+  bool lateReplyLimited_ = false;    // the timer has the latest time of a final answer
+  bool responseDelayed_ = false;     // the rest of the response is awaited past the limit for its begin
   bool onlyTransferring_ = false;  // excluded from its endpoint's counts: only the rest of a response is due
   bool watchingIdle_ = false;      // a wait for the socket to become readable is pending
 };
--- a/src/upstream/attempt_deadlines.hpp
+++ b/src/upstream/attempt_deadlines.hpp
@@ -8,6 +8,11 @@
 
 namespace cairnjunction {
 
+// The process may be held up for so long between reading its clock and writing.
+inline constexpr std::chrono::milliseconds kHoldUpAllowance{150};
+// Behind the client's time, for a final answer that is under way: half a second at most, held up or not.
+inline constexpr std::chrono::milliseconds kLateReplyAllowance{300};
+
 // Computed from the timeouts and the start of an attempt.
 struct AttemptDeadlines {
   using Clock = std::chrono::steady_clock;
@@ -16,7 +21,10 @@
   AttemptDeadlines(const AttemptTimeouts& timeouts, Clock::time_point now)
       : startedAt(now),
         responseStartBy(now + std::max(timeouts.responseStart, policy::Duration::zero())),
-        clientWaitsUntil(std::max(responseStartBy, now + timeouts.client)) {
+        clientWaitsUntil(std::max(responseStartBy, now + timeouts.client)),
+        passOnAt(clientWaitsUntil -
+                 std::min<policy::Duration>(kHoldUpAllowance, (clientWaitsUntil - now) / 2)),
+        lateReplyAt(clientWaitsUntil + kLateReplyAllowance) {
     if (timeouts.write != policy::Duration::max()) writtenBy = now + timeouts.write;
   }
   // The deadline of an attempt whose last byte is not written yet.
@@ -24,7 +32,9 @@
 
   Clock::time_point startedAt;
   Clock::time_point responseStartBy;   // the attempt ends then, unless its response has begun
-  Clock::time_point clientWaitsUntil;  // a response that has begun has to be complete then
+  Clock::time_point clientWaitsUntil;  // the final answer to the client has to begin then
+  Clock::time_point passOnAt;          // so that it does: an incomplete response is streamed from then on
+  Clock::time_point lateReplyAt;       // one that has begun and can't be streamed has to be complete then
   Clock::time_point writtenBy = Clock::time_point::max();  // max(): no deadline for writing
 };
 
