An answer of a JSON-RPC host that is under way at the client's time is awaited for 0.3 s

What callers saw: an error 15 ms before the client's time while their answer was under way, also where it was whole some milliseconds behind it. Cause: the same as over HTTP: an answer that had begun was ended at the client's time, and the load balancer, which knows of no answer under way there, ended the request 20 ms before. Change: such a call is reported as delayed 0.15 s before the client's time and awaited for kLateReplyAllowance behind it. The engine gives a call that was reported its reply 0.31 s behind its deadline at the latest, since a cancel may be waited for longer than that. Why it works: a JSON-RPC reply is one text and can't be passed on in parts, so the half second in which a final answer may be late is what there is; whatever the upstream does, the engine has one reply in it.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -185,7 +185,8 @@
   limits.idleClose = as.idleClose;
   limits.streams = jsonRpcSettings_.workers.streams;
   limits.form = jsonRpcSettings_.workers.form;
-  auto upstream = std::make_unique<jsonrpc::Upstream>(io_, limits, ended);
+  auto upstream = std::make_unique<jsonrpc::Upstream>(
+      io_, limits, ended, [this](const AttemptOutcome& delayed) { engine_.responseDelayed(delayed); });
   limitUpstream_ = [this, to = upstream.get()](const Config& c) {
     const HttpUpstream::Limits now = hostLimits(c, waits_.silence, memory_);
     to->setLimits(now.connections, now.connectTimeout, now.idleClose);
--- a/src/core/attempt.hpp
+++ b/src/core/attempt.hpp
@@ -80,8 +80,8 @@
 
 // Called when an answer has begun but is not complete, and so can't be served yet: at the end of
 // AttemptTimeouts::responseStart if its head says that it can be served, and when the client's time is about
-// to be over even if its head is not whole. The upstream goes on to receive it. `elapsed` counts until its first byte,
-// `response` is empty. The end of the attempt is reported separately.
+// to be over even if its head is not whole. The upstream goes on to receive it. `elapsed` counts until its
+// first byte, `response` is empty. The end of the attempt is reported separately.
 using ResponseDelayed = std::function<void(AttemptOutcome)>;
 
 // What is reported of a response before the end of its attempt.
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -43,6 +43,27 @@
   return ids;
 }
 
+std::vector<CallId> CallTable::takeDelayedWithDeadlineBefore(policy::Timestamp time) {
+  std::vector<CallId> overdue;
+  std::erase_if(delayed_, [&](CallId id) {
+    const ActiveCall* const call = find(id);
+    if (call == nullptr || call->responsePhase != ResponsePhase::delayed || call->settled) return true;
+    if (call->deadline >= time) return false;
+    overdue.push_back(id);
+    return true;
+  });
+  return overdue;
+}
+
+std::optional<policy::Timestamp> CallTable::earliestDelayedDeadline() {
+  std::optional<policy::Timestamp> earliest;
+  for (const CallId id : delayed_) {
+    const ActiveCall* const call = find(id);
+    if (call != nullptr && (!earliest || call->deadline < *earliest)) earliest = call->deadline;
+  }
+  return earliest;
+}
+
 std::vector<bool> CallTable::classesInUse(std::size_t count) const {
   std::vector<bool> inUse(count, false);
   for (const auto& [id, call] : calls_) {
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -42,6 +43,12 @@
   std::size_t awaitingReply() const { return awaitingReply_; }
   // Calls that are not settled and whose deadline is after `time`.
   std::vector<CallId> unsettledWithDeadlineAfter(policy::Timestamp time) const;
+  // A call's answer is under way, and its reply is awaited past its deadline.
+  void markDelayed(CallId id) { delayed_.push_back(id); }
+  // Takes the marks off delayed calls whose deadline is before `time`, and returns those that still wait.
+  std::vector<CallId> takeDelayedWithDeadlineBefore(policy::Timestamp time);
+  // The earliest deadline of the calls with such a mark.
+  std::optional<policy::Timestamp> earliestDelayedDeadline();
   // For each class index below `count`, whether an open call uses it.
   std::vector<bool> classesInUse(std::size_t count) const;
 
@@ -50,6 +57,7 @@
   std::unordered_set<std::string_view> externalIds_;  // one for each call; they refer to the text in calls_
   UnresolvedIds unresolvedIds_;
   std::vector<CallId> possiblyFinished_;  // may contain duplicates and removed calls
+  std::vector<CallId> delayed_;           // may contain removed calls
   std::size_t awaitingReply_ = 0;
   CallId lastId_ = 0;
 };
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/attempt_rules.hpp"
+#include "core/reply_margin.hpp"
 
 namespace cairnjunction {
 
@@ -17,6 +18,9 @@
 
 namespace {
 
+// Behind a call's deadline: its reply is given then at the latest, whatever becomes of its attempt.
+constexpr Duration kLatestReply = kLateReplyAllowance + kReplyMargin;
+
 // The duration in seconds with one decimal, truncated.
 std::string secondsText(Duration duration) {
   const auto tenths = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count() / 100;
@@ -127,6 +131,8 @@
   if (call == nullptr || call->settled || call->attemptsInFlight == 0) return;
   --call->attemptsInFlight;
   call->responsePhase = ResponsePhase::delayed;
+  calls_.markDelayed(outcome.key.call);
+  scheduleWake(call->deadline + kLatestReply);
   if (!call->mayHaveExecutedAt) call->mayHaveExecutedAt = call->latestAttemptStartedAt;
   attemptLog_.onDelay(runtime_.now(), call->call.externalId, outcome, balancer_.address(outcome.endpoint));
   reportToLoadBalancer(outcome, true);
@@ -170,10 +176,26 @@
   if (!served) logFailure(call, outcome);
   if (call.settled) return;
   if (served) return reply(id, call, {ReplyStatus::ok, std::move(outcome.response), {}});
-  const bool isRepeatable = call.isSafe || !mayHaveExecuted(outcome.outcome);
+  replyUnserved(id, call, mayHaveExecuted(outcome.outcome));
+}
+
+// Of a call that the load balancer has closed.
+void Engine::replyUnserved(CallId id, ActiveCall& call, bool mayHaveExecuted) {
+  const bool isRepeatable = call.isSafe || !mayHaveExecuted;
   reply(id, call, {isRepeatable ? ReplyStatus::rejected : ReplyStatus::failed, {}, {}});
 }
 
+// An upstream may need longer to end an attempt than the client can be kept waiting for its final answer.
+void Engine::endOverdueCalls(Timestamp now) {
+  for (const CallId id : calls_.takeDelayedWithDeadlineBefore(now - kLatestReply + Duration(1))) {
+    ActiveCall* const call = calls_.find(id);
+    if (call == nullptr || call->settled) continue;  // settled as a consequence of an earlier reply
+    replyUnserved(id, *call, true);
+    cancelAttempts(id);
+  }
+  if (const auto next = calls_.earliestDelayedDeadline()) scheduleWake(*next + kLatestReply);
+}
+
 void Engine::finishStreamed(CallId id, ActiveCall& call, const AttemptOutcome& outcome) {
   calls_.markPossiblyFinished(id);
   call.served = outcome.outcome == Outcome::served;
@@ -240,6 +262,7 @@
     runtime_.requestResync();
   }
   reportReachability();
+  endOverdueCalls(now);
   balancer_.onWake(now);
   executeActions();
 }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -129,6 +129,8 @@
   void rejectOrFail(const policy::Action& action);
   void scheduleWake(policy::Timestamp at);
   void cancelAttempts(CallId id);
+  void endOverdueCalls(policy::Timestamp now);
+  void replyUnserved(CallId id, ActiveCall& call, bool mayHaveExecuted);
   void finishAttempt(AttemptOutcome outcome);
   void finishDelayed(CallId id, ActiveCall& call, AttemptOutcome outcome);
   void finishStreamed(CallId id, ActiveCall& call, const AttemptOutcome& outcome);
--- a/src/jsonrpc/upstream.cpp
+++ b/src/jsonrpc/upstream.cpp
@@ -11,11 +11,12 @@
 using policy::FailureReason;
 using policy::Outcome;
 
-Upstream::Upstream(boost::asio::io_context& io, const Limits& limits, Ended ended)
+Upstream::Upstream(boost::asio::io_context& io, const Limits& limits, Ended ended, ResponseDelayed delayed)
     : io_(io),
+      delayed_(std::move(delayed)),
       attempts_(std::move(ended)),
       pool_(io, limits, connectionCounts(), [this](EndpointId endpoint) {
-        return std::make_shared<UpstreamConnection>(io_, pool_, attempts_, endpoint);
+        return std::make_shared<UpstreamConnection>(io_, pool_, attempts_, delayed_, endpoint);
       }) {}
 
 Upstream::~Upstream() { closeAll(); }
--- a/src/jsonrpc/upstream.hpp
+++ b/src/jsonrpc/upstream.hpp
@@ -22,8 +22,8 @@
   using Limits = UpstreamLimits;
   using Ended = UpstreamConnection::Attempts::Ended;
 
-  // `ended` is called once for each attempt; it must not destroy the upstream.
-  Upstream(boost::asio::io_context& io, const Limits& limits, Ended ended);
+  // `ended` is called once for each attempt; it must not destroy the upstream. No response is streamed.
+  Upstream(boost::asio::io_context& io, const Limits& limits, Ended ended, ResponseDelayed delayed = nullptr);
   ~Upstream() override;
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -50,6 +50,7 @@
   void closeAll();
 
   boost::asio::io_context& io_;
+  const ResponseDelayed delayed_;
   UpstreamConnection::Attempts attempts_;
   UpstreamPool pool_;
   bool stopped_ = false;
--- a/src/jsonrpc/upstream_connection.cpp
+++ b/src/jsonrpc/upstream_connection.cpp
@@ -29,10 +29,11 @@
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(asio::io_context& io, UpstreamPool& pool, Attempts& attempts,
-                                       policy::EndpointId endpoint)
+                                       const ResponseDelayed& delayed, policy::EndpointId endpoint)
     : endpoint_(endpoint),
       pool_(pool),
       attempts_(attempts),
+      delayed_(delayed),
       socket_(io),
       timer_(io),
       frames_(pool.limits().answerBytes + kReplyOverhead, pool.limits().form),
@@ -184,15 +185,24 @@
 
 void UpstreamConnection::endCall(const PendingCall& call, Outcome outcome, FailureReason reason,
                                  Message answer) {
-  ConnectionUse use = ConnectionUse::none;
-  if (connected_) use = call.isFirst ? ConnectionUse::opened : ConnectionUse::reused;
-  AttemptOutcome ended{call.key,          endpoint_, outcome, Clock::now() - call.deadlines.startedAt,
-                       std::move(answer), reason,    use,     takesCalls()};
+  AttemptOutcome ended{call.key,
+                       endpoint_,
+                       outcome,
+                       Clock::now() - call.deadlines.startedAt,
+                       std::move(answer),
+                       reason,
+                       connectionUseOf(call),
+                       takesCalls()};
   ended.limit = call.expiredLimit;
   ended.receivedBytes = received_.size();
   attempts_.end(std::move(ended));
 }
 
+ConnectionUse UpstreamConnection::connectionUseOf(const PendingCall& call) const {
+  if (!connected_) return ConnectionUse::none;
+  return call.isFirst ? ConnectionUse::opened : ConnectionUse::reused;
+}
+
 // --- Writing --------------------------------------------------------------------------------------------
 
 void UpstreamConnection::flush() {
@@ -337,10 +347,7 @@
     return close(Outcome::reset);
   }
   if (call.nextDeadline < call.deadlines.responseStartBy) return onWriteTimeout(id);
-  if (mayDelay(call, now)) {
-    call.delayed = true;
-    return setDeadline(id, call, call.deadlines.clientWaitsUntil);
-  }
+  if (mayDelay(call, now)) return delayCall(id, call, now);
   const AttemptKey key = call.key;
   call.expiredLimit = call.delayed ? AttemptLimit::clientTime : AttemptLimit::responseStart;
   cancel(key, Outcome::timeout);
@@ -354,14 +361,27 @@
 // Whose answer is under way is known only at its end: of each call that is written, it may be that one's, and
 // no other answer can come before it.
 bool UpstreamConnection::mayDelay(const PendingCall& call, Clock::time_point now) {
-  return isWritten(call) && now < call.deadlines.clientWaitsUntil && isAnswerUnderWay();
+  return isWritten(call) && now < call.deadlines.lateReplyAt && isAnswerUnderWay();
+}
+
+// An answer is not passed on in parts, so it is awaited for as long as a final answer may be late. The load
+// balancer is told before it ends the request itself.
+void UpstreamConnection::delayCall(std::uint64_t id, PendingCall& call, Clock::time_point now) {
+  call.delayed = true;
+  if (now < call.deadlines.passOnAt) return setDeadline(id, call, call.deadlines.passOnAt);
+  setDeadline(id, call, call.deadlines.lateReplyAt);
+  if (!delayed_ || std::exchange(call.reported, true)) return;
+  AttemptOutcome outcome{call.key, endpoint_, Outcome::served, now - call.deadlines.startedAt, {}};
+  outcome.connectionUse = connectionUseOf(call);
+  outcome.receivedBytes = received_.size();
+  delayed_(std::move(outcome));
 }
 
 // Whether closing the connection would cut off the answer to a call whose client still waits.
 bool UpstreamConnection::awaitsAnswerBesideCancelled(Clock::time_point now) {
   if (!isAnswerUnderWay()) return false;
   return std::any_of(calls_.begin(), calls_.end(), [now](const auto& each) {
-    return !each.second.cancelled && now < each.second.deadlines.clientWaitsUntil;
+    return !each.second.cancelled && now < each.second.deadlines.lateReplyAt;
   });
 }
 
--- a/src/jsonrpc/upstream_connection.hpp
+++ b/src/jsonrpc/upstream_connection.hpp
@@ -34,10 +34,10 @@
     notEncodable  // the call can't be said in JSON, to no endpoint; its attempt has not begun
   };
 
-  // Not connected yet. `pool` and `attempts` must outlive the last event of the connection: it has none after
-  // close().
+  // Not connected yet. The referenced objects must outlive the last event of the connection: it has none
+  // after close(). `delayed` may be empty.
   UpstreamConnection(boost::asio::io_context& io, UpstreamPool& pool, Attempts& attempts,
-                     policy::EndpointId endpoint);
+                     const ResponseDelayed& delayed, policy::EndpointId endpoint);
 
   void connect(const boost::asio::ip::tcp::endpoint& address);
   // Begins an attempt, which is written once the connection is up. `call` is not needed after that.
@@ -74,6 +74,7 @@
     bool isFirst = false;     // the first call on this connection
     bool cancelled = false;   // the worker was asked to stop it, or will be
     bool delayed = false;     // its answer may be the one that is under way behind its limit
+    bool reported = false;    // as delayed
     policy::Outcome cancelOutcome = policy::Outcome::timeout;  // of a cancelled one
     AttemptLimit expiredLimit = AttemptLimit::none;            // why it was cancelled, or taken back
   };
@@ -96,12 +97,15 @@
   void onWriteTimeout(std::uint64_t id);
   bool isAnswerUnderWay();
   bool mayDelay(const PendingCall& call, Clock::time_point now);
+  void delayCall(std::uint64_t id, PendingCall& call, Clock::time_point now);
+  policy::ConnectionUse connectionUseOf(const PendingCall& call) const;
   bool awaitsAnswerBesideCancelled(Clock::time_point now);
   void endDelayedCalls();
 
   const policy::EndpointId endpoint_;
   UpstreamPool& pool_;
   Attempts& attempts_;
+  const ResponseDelayed& delayed_;
   boost::asio::ip::tcp::socket socket_;       // open from connect() to close(); never blocks
   boost::asio::steady_timer timer_;           // for the earliest of the calls' deadlines and of connecting
   std::optional<Clock::time_point> timerAt_;  // what the timer waits for; empty: it does not
--- a/src/upstream/attempt_deadlines.hpp
+++ b/src/upstream/attempt_deadlines.hpp
@@ -5,14 +5,10 @@
 #include <chrono>
 
 #include "core/attempt.hpp"
+#include "core/reply_margin.hpp"
 
 namespace cairnjunction {
 
-// The process may be held up for so long between reading its clock and writing.
-inline constexpr std::chrono::milliseconds kHoldUpAllowance{150};
-// Behind the client's time, for a final answer that is under way: half a second at most, held up or not.
-inline constexpr std::chrono::milliseconds kLateReplyAllowance{300};
-
 // Computed from the timeouts and the start of an attempt.
 struct AttemptDeadlines {
   using Clock = std::chrono::steady_clock;
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -464,6 +464,22 @@
   EXPECT_EQ(engine->activeCalls(), 0u);
 }
 
+// The client is owed its final answer, however long the upstream takes to end the attempt.
+TEST_F(DelayedAnswer, HasItsReplyHalfASecondBehindItsDeadlineAtTheLatest) {
+  start();
+  for (const std::uint32_t classIndex : {0u, 1u, 2u}) {
+    const CallId id = acceptCall(classIndex, "a" + std::to_string(classIndex));
+    const policy::Timestamp deadline = runtime.at + 900ms;
+    delay(id);
+    while (sink.replies[token].empty() && runtime.at < deadline + 2s) advance(10ms);
+    EXPECT_GE(runtime.at, deadline + 300ms) << "its answer is under way";
+    EXPECT_LE(runtime.at, deadline + 350ms);
+    ASSERT_EQ(sink.replies[token].size(), 1u);
+    EXPECT_EQ(sink.replies[token][0].status, classIndex == 0 ? ReplyStatus::rejected : ReplyStatus::failed);
+    EXPECT_EQ(upstream.cancels.back(), (AttemptKey{id, 0}));
+  }
+}
+
 TEST_F(DelayedAnswer, MayBeStreamedLater) {
   start();
   const CallId id = acceptCall(1, "a");
--- a/tests/jsonrpc/upstream_test.cpp
+++ b/tests/jsonrpc/upstream_test.cpp
@@ -13,13 +13,14 @@
  protected:
   Upstream::Limits limits;
   std::unique_ptr<Upstream> upstream;
-  std::vector<AttemptOutcome> ends;
+  std::vector<AttemptOutcome> ends, delayed;
   CallId last = 0;
 
   void make(const tcp::endpoint& at) {
     limits.connectTimeout = std::chrono::seconds(5);
-    upstream = std::make_unique<Upstream>(io, limits,
-                                          [this](AttemptOutcome end) { ends.push_back(std::move(end)); });
+    upstream = std::make_unique<Upstream>(
+        io, limits, [this](AttemptOutcome end) { ends.push_back(std::move(end)); },
+        [this](AttemptOutcome late) { delayed.push_back(std::move(late)); });
     upstream->updateEndpoint(1, at, true);
   }
   AttemptKey send(const json& params = json::object(),
@@ -305,6 +306,31 @@
   EXPECT_EQ(endOf(key), Outcome::served);
 }
 
+// The answer is one text, so it is whole within the half second in which a final answer may be late.
+TEST_F(UpstreamTest, AnAnswerUnderWayIsAwaitedShortlyBehindItsClientsTime) {
+  constexpr std::chrono::milliseconds limit(40), clientWaits(200);
+  for (const bool isWhole : {true, false}) {
+    ends.clear();
+    delayed.clear();
+    Worker worker(io, [](Lines& from, const json&) { from.send(R"({"jsonrpc":"2.0","res)"); });
+    make(worker.endpoint);
+    const auto start = std::chrono::steady_clock::now();
+    const AttemptKey key = send(json::object(), {limit, policy::Duration::max(), clientWaits});
+    ASSERT_TRUE(until([&] { return std::chrono::steady_clock::now() > start + clientWaits + 2 * limit; }));
+    ASSERT_TRUE(ends.empty());
+    ASSERT_EQ(delayed.size(), 1u) << "before the load balancer ends the request";
+    EXPECT_EQ(delayed.front().key, key);
+    EXPECT_LT(delayed.front().elapsed, clientWaits);
+    if (isWhole)
+      worker.connections.front()->send("ult\":7,\"id\":" + worker.requests.front()["id"].dump() + "}\n");
+    ASSERT_TRUE(until([&] { return ends.size() == 1; }));
+    EXPECT_EQ(endOf(key), isWhole ? Outcome::served : Outcome::timeout);
+    EXPECT_EQ(ends.front().limit, isWhole ? AttemptLimit::none : AttemptLimit::clientTime);
+    EXPECT_LT(ends.front().elapsed, clientWaits + std::chrono::milliseconds(500));
+    upstream.reset();
+  }
+}
+
 // Two calls share a connection, and the answer that is under way turns out to be the other one's.
 TEST_F(UpstreamTest, ACallThatIsSilentBehindAnothersAnswerEndsWhenThatIsWhole) {
   Worker worker(io, [&](Lines& from, const json&) {
