A pause between two reads of a request is no silence of its host

Cause: the bytes that the host's system had taken were compared over one step, the last 0.3 s or half of the time until the limit, and a window opens in steps that may be longer. The same mistake as with answers: a pause between two reads is taken for silence. Why it works: any byte taken behind the baseline shows a program that reads. Evidence: RequestWhoseHostPausesBetweenTwoReadsIsWrittenToItsEnd fails on the code before (ended at the limit) and passes.

--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -27,19 +27,10 @@
 constexpr std::size_t kStreamCapacityBytes = 32 << 10;
 // Limits how long a client that stops reading a streamed response occupies the connection.
 constexpr Duration kUnreadTimeout = std::chrono::seconds(10);
-// An endpoint that has taken bytes of the request within this time before the limit, or within half of the
-// time until it, is not silent.
-constexpr Duration kRequestProgressInterval = std::chrono::milliseconds(300);
 // A request that is not written this long before its client's time is over can't be answered in time: its
 // client is told that it never ran.
 constexpr Duration kUnansweredReserve = std::chrono::milliseconds(20);
 
-// When to look how much of a request is taken, to compare it at the limit.
-std::chrono::steady_clock::time_point progressSampleAt(std::chrono::steady_clock::time_point limit) {
-  const auto now = std::chrono::steady_clock::now();
-  return std::max(limit - kRequestProgressInterval, now + (limit - now) / 2);
-}
-
 }  // namespace
 
 HttpConnection::HttpConnection(asio::io_context& io, HttpConnectionPool& pool, Attempts& attempts,
@@ -144,8 +135,8 @@
   writer_.begin(*call_, address_, deadlines_.responseStartBy - Clock::now());
   writeBy_ = deadlines_.unwrittenEnd();
   requestDelayed_ = false;
-  takenBefore_ = 0;
-  callAt(progressSampleAt(writeBy_), &HttpConnection::watchRequestProgress);
+  progress_.begin(Clock::now(), writeBy_);
+  callAt(progress_.baselineUntil(), &HttpConnection::watchRequestProgress);
   write();
 }
 
@@ -176,11 +167,17 @@
   });
 }
 
-// Called shortly before the limit, while the request is written or its response has not begun.
+// Called before the limit, while the request is written or its response has not begun.
 void HttpConnection::watchRequestProgress() {
-  takenBefore_ = takenRequestBytes();
-  if (phase_ == Phase::writing) callAt(writeBy_, &HttpConnection::onWriteLimit);
-  else callAt(deadlines_.responseStartBy, &HttpConnection::onResponseStartLimit);
+  const auto now = Clock::now();
+  const std::size_t taken = takenRequestBytes();
+  progress_.sample(now, taken);
+  const bool isWriting = phase_ == Phase::writing;
+  const auto limit = isWriting ? writeBy_ : deadlines_.responseStartBy;
+  const auto next = now + RequestProgress::kSampleInterval;
+  if (next < limit && (isWriting || taken < writer_.writtenBytes()))
+    callAt(next, &HttpConnection::watchRequestProgress);
+  else callAt(limit, isWriting ? &HttpConnection::onWriteLimit : &HttpConnection::onResponseStartLimit);
 }
 
 // Bytes of the current request that the endpoint's system has taken.
@@ -188,7 +185,11 @@
   return writer_.writtenBytes() - std::min(writer_.writtenBytes(), unacknowledgedBytes(socket_));
 }
 
-bool HttpConnection::isRequestBeingTaken() { return takenRequestBytes() > takenBefore_; }
+bool HttpConnection::isRequestBeingTaken() {
+  const auto now = Clock::now();
+  progress_.sample(now, takenRequestBytes());
+  return progress_.isBeingTaken(now);
+}
 
 // An endpoint that reads a large request slowly is not silent: the request is written to its end, as long as
 // the client waits and a repeat is recognized.
@@ -215,7 +216,7 @@
   lateReplyLimited_ = false;
   reader_.begin();
   if (requestDelayed_) callAt(deadlines_.clientWaitsUntil, &HttpConnection::onClientTime);
-  else callAt(progressSampleAt(deadlines_.responseStartBy), &HttpConnection::watchRequestProgress);
+  else callAt(progress_.baselineUntil(), &HttpConnection::watchRequestProgress);
   receive();
 }
 
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -13,6 +13,7 @@
 #include "cairnjunction/load_balancer.hpp"
 #include "common/memory_account.hpp"
 #include "core/attempt.hpp"
+#include "http/request_progress.hpp"
 #include "http/request_writer.hpp"
 #include "http/response_reader.hpp"
 #include "upstream/attempt_deadlines.hpp"
@@ -137,7 +138,7 @@
   const Call* call_ = nullptr;  // of the current attempt until its request is written; null after that
   RequestWriter writer_;
   Clock::time_point writeBy_;    // the last byte of the current request is written then, or never
-  std::size_t takenBefore_ = 0;  // bytes of it that the endpoint had taken shortly before its limit
+  RequestProgress progress_;
   ResponseReader reader_;
   MemoryCharge responseCharge_;        // for what the reader holds
   Clock::time_point responseBegunAt_;  // the first byte of the current response
--- a/tests/http/delayed_response_test.cpp
+++ b/tests/http/delayed_response_test.cpp
@@ -6,6 +6,7 @@
 
 #include "http/upstream.hpp"
 #include "net_peers.hpp"
+#include "raw_peers.hpp"
 
 namespace cairnjunction::testing {
 namespace {
@@ -26,12 +27,16 @@
   std::chrono::steady_clock::time_point startedAt;
   Duration responseSilence = 60s;
   bool acceptsStreaming = true;
+  std::string body;  // of the request
 
   // Starts an attempt at an endpoint that begins with `first`.
   void begin(const std::string& first, Duration clientWaits = 60s) {
     peer = std::make_unique<Peer>(io, [first](PeerConnection& c) {
       if (!first.empty()) c.reply(first);
     });
+    startAt(peer->endpoint, kResponseStart, clientWaits);
+  }
+  void startAt(const tcp::endpoint& endpoint, Duration responseStart, Duration clientWaits) {
     HttpUpstream::Limits limits;
     limits.connectTimeout = 60s;
     limits.silence.ofNew = 0ms;
@@ -40,13 +45,14 @@
         io, limits, [this](AttemptOutcome outcome) { outcomes.push_back(std::move(outcome)); },
         ResponseEvents{[this](AttemptOutcome outcome) { started.push_back(std::move(outcome)); },
                        [this](AttemptOutcome outcome) { delayed.push_back(std::move(outcome)); }});
-    upstream->updateEndpoint(1, peer->endpoint, true);
+    upstream->updateEndpoint(1, endpoint, true);
     call = {};
     call.externalId = "c1";
     call.message.target = "/read";
+    call.message.body = body;
     call.acceptsStreaming = acceptsStreaming;
     startedAt = std::chrono::steady_clock::now();
-    upstream->start({1, 0}, 1, call, {kResponseStart, Duration::max(), clientWaits});
+    upstream->start({1, 0}, 1, call, {responseStart, Duration::max(), clientWaits});
   }
   // Runs the event loop until well past the limit for the begin of the response.
   void passTheLimit() {
@@ -283,5 +289,33 @@
   EXPECT_GT(outcome().elapsed, 600ms);
 }
 
+// A host's window opens in steps, so a pause between two of its reads is no silence.
+TEST_F(DelayedResponseTest, RequestWhoseHostPausesBetweenTwoReadsIsWrittenToItsEnd) {
+  body.assign(16 << 20, 'r');
+  DeafListener host(io);
+  startAt(host.endpoint, 400ms, 60s);
+  const auto passed = [this](Duration time) {
+    return until([&] { return std::chrono::steady_clock::now() > startedAt + time; });
+  };
+  ASSERT_TRUE(passed(80ms));
+  host.taken.at(0)->readOnce(16 << 10);
+  ASSERT_TRUE(passed(800ms));
+  ASSERT_TRUE(outcomes.empty()) << "it paused just before the limit";
+  host.readAll();
+  ASSERT_TRUE(until([&] { return host.taken.at(0)->received > body.size(); }));
+  host.taken.at(0)->send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  EXPECT_EQ(outcome().outcome, Outcome::served);
+}
+
+TEST_F(DelayedResponseTest, RequestThatItsHostDoesNotReadEndsAtTheLimitAsNeverRun) {
+  body.assign(16 << 20, 'r');
+  DeafListener host(io);
+  startAt(host.endpoint, 400ms, 60s);
+  const AttemptOutcome ended = outcome();
+  EXPECT_EQ(ended.outcome, Outcome::connectFailed);
+  EXPECT_EQ(ended.limit, AttemptLimit::responseStart);
+  EXPECT_LT(ended.elapsed, 1s);
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
--- a/tests/raw_peers.hpp
+++ b/tests/raw_peers.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <boost/asio/read.hpp>
 
 #include "net_peers.hpp"
 
@@ -24,6 +25,12 @@
       self->read();
     });
   }
+  // Reads so many bytes more, and then nothing until the next call.
+  void readOnce(std::size_t bytes) {
+    auto into = std::make_shared<std::string>(bytes, '\0');
+    asio::async_read(socket_, asio::buffer(*into),
+                     [self = shared_from_this(), into](error_code, std::size_t n) { self->received += n; });
+  }
   void send(const std::string& bytes) {
     auto held = std::make_shared<std::string>(bytes);
     asio::async_write(socket_, asio::buffer(*held),
--- a/tests/upstream/attempt_deadlines_test.cpp
+++ b/tests/upstream/attempt_deadlines_test.cpp
@@ -23,6 +23,14 @@
   EXPECT_EQ(AttemptDeadlines(AttemptTimeouts(2s, 3s), kNow).unwrittenEnd(), kNow + 2s);
 }
 
+TEST(AttemptDeadlines, AnAnswerIsPassedOnAHoldUpBeforeTheClientsTimeAndIsLateBehindIt) {
+  const AttemptDeadlines deadlines(AttemptTimeouts(200ms, 1s, 800ms), kNow);
+  EXPECT_EQ(deadlines.clientWaitsUntil, kNow + 800ms);
+  EXPECT_EQ(deadlines.passOnAt, kNow + 650ms);
+  EXPECT_EQ(deadlines.lateReplyAt, kNow + 1100ms);
+  EXPECT_EQ(AttemptDeadlines(AttemptTimeouts(100ms), kNow).passOnAt, kNow + 50ms);
+}
+
 TEST(AttemptDeadlines, ANegativeTimeoutEndsAtOnce) {
   EXPECT_EQ(AttemptDeadlines(AttemptTimeouts(-1s), kNow).responseStartBy, kNow);
 }
