Late noise of a host cuts off no answer that is under way on its other connections

Cause: distrust after late unsolicited bytes ended each attempt on the host's used connections, also one whose answer was coming in parts. Change: an attempt of whose answer a part has come goes on; its connection is closed behind it. Why it works: unsolicited bytes come at once and would have been whole; before the first byte nothing tells whose answer will come, and the attempt ends as before. What is left: an answer to an earlier request that comes in parts, later than the silence before a request. Evidence: LateSecondResponseDoesNotCutOffAResponseUnderWayOnAnotherConnection fails on the code before and passes; the other 7 tests of the file as before.

--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -477,8 +477,10 @@
       if (!isTrusted(after)) end(Outcome::connectFailed, FailureReason::unsolicitedBytes);
       return;
     case Phase::reading:
-      // The client has a part of a streamed response already.
-      if (!reader_.isStreaming() && !isTrusted(after)) end(Outcome::error, FailureReason::unsolicitedBytes);
+      if (isTrusted(after)) return;
+      // Unsolicited bytes come at once; a response that comes in parts is most likely the request's own.
+      closesAfterResponse_ = true;
+      if (!reader_.hasBegun()) end(Outcome::error, FailureReason::unsolicitedBytes);
       return;
     case Phase::connecting:
     case Phase::idle:
@@ -505,7 +507,7 @@
   const auto* const entry = pool_.endpoints().find(endpoint_);
   // While the connection was excluded from the counts, the endpoint's id may have been reused for another
   // one.
-  ended.connectionKept = reusable && entry != nullptr && entry->serving &&
+  ended.connectionKept = reusable && !closesAfterResponse_ && entry != nullptr && entry->serving &&
                          (!onlyTransferring_ || entry->address == address_) &&
                          !(isUsed() && pool_.trust().isSingleUse(endpoint_, Clock::now()));
   if (ended.connectionKept) {
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -137,7 +137,7 @@
   AttemptDeadlines deadlines_;  // of the current attempt
   const Call* call_ = nullptr;  // of the current attempt until its request is written; null after that
   RequestWriter writer_;
-  Clock::time_point writeBy_;    // the last byte of the current request is written then, or never
+  Clock::time_point writeBy_;  // the last byte of the current request is written then, or never
   RequestProgress progress_;
   ResponseReader reader_;
   MemoryCharge responseCharge_;        // for what the reader holds
@@ -145,17 +145,18 @@
   Clock::time_point lastReceivedAt_;   // its latest byte
   Clock::time_point silentSince_;
   policy::Duration connectTime_{};
-  policy::Duration firstSilence_{};  // before the first request
-  std::uint64_t requests_ = 0;       // written to it, if only in part
-  bool established_ = false;         // the connection has been established
-  bool hasAttempt_ = false;          // an attempt is using it
-  bool openedForAttempt_ = false;    // the current attempt is the first
-  bool mayStream_ = false;           // the response of the current attempt may be streamed
-  bool readingPaused_ = false;       // the stream is full; onStreamRoom() resumes reading
-  bool requestDelayed_ = false;      // the endpoint still took the request at the limit for the response
-  bool responseBegun_ = false;       // a part of a final response has been read
-  bool lateReplyLimited_ = false;    // the timer has the latest time of a final answer
-  bool responseDelayed_ = false;     // the rest of the response is awaited past the limit for its begin
+  policy::Duration firstSilence_{};   // before the first request
+  std::uint64_t requests_ = 0;        // written to it, if only in part
+  bool established_ = false;          // the connection has been established
+  bool hasAttempt_ = false;           // an attempt is using it
+  bool openedForAttempt_ = false;     // the current attempt is the first
+  bool mayStream_ = false;            // the response of the current attempt may be streamed
+  bool readingPaused_ = false;        // the stream is full; onStreamRoom() resumes reading
+  bool requestDelayed_ = false;       // the endpoint still took the request at the limit for the response
+  bool responseBegun_ = false;        // a part of a final response has been read
+  bool lateReplyLimited_ = false;     // the timer has the latest time of a final answer
+  bool responseDelayed_ = false;      // the rest of the response is awaited past the limit for its begin
+  bool closesAfterResponse_ = false;  // the endpoint has sent unsolicited bytes during the current attempt
   bool onlyTransferring_ = false;  // excluded from its endpoint's counts: only the rest of a response is due
   bool watchingIdle_ = false;      // a wait for the socket to become readable is pending
 };
--- a/tests/http/unsolicited_bytes_test.cpp
+++ b/tests/http/unsolicited_bytes_test.cpp
@@ -94,6 +94,37 @@
   EXPECT_EQ(found.front().after, UnsolicitedAfter::responseLate);
 }
 
+// Bytes that nobody asked for come at once, so a response in parts is its request's own.
+TEST_F(UnsolicitedBytesTest, LateSecondResponseDoesNotCutOffAResponseUnderWayOnAnotherConnection) {
+  const std::string text = answerText(200, "", "its own response");
+  for (const std::size_t part : {std::size_t(5), text.size() - 8, text.size() - 1}) {
+    SCOPED_TRACE(part);
+    limits.silence.covered = -1ms;
+    makeUpstream(nullptr);
+    start();
+    start();
+    ASSERT_TRUE(until([&] { return peer->requests.size() == 2; }));
+    for (const auto& connection : peer->connections) answer(*connection);
+    nextOutcome();
+    nextOutcome();
+    start();  // on the connection used last
+    ASSERT_TRUE(until([&] { return peer->requests.size() == 3; }));
+    peer->connections.back()->reply(text.substr(0, part));
+    // Time for the part to be read; nothing shows that it was.
+    const auto read = std::chrono::steady_clock::now() + 50ms;
+    ASSERT_TRUE(until([&] { return std::chrono::steady_clock::now() > read; }));
+    peer->connections.front()->reply(answerText(200, "", "once more"));
+    ASSERT_TRUE(until([&] { return !found.empty(); }));
+    EXPECT_TRUE(outcomes.empty());
+    peer->connections.back()->reply(text.substr(part));
+    const AttemptOutcome outcome = nextOutcome();
+    EXPECT_EQ(outcome.outcome, Outcome::served);
+    EXPECT_EQ(outcome.response.body, "its own response");
+    EXPECT_FALSE(outcome.connectionKept);
+    found.clear();
+  }
+}
+
 TEST_F(UnsolicitedBytesTest, BehindALateSecondResponseEachConnectionCarriesOneRequest) {
   limits.silence.covered = -1ms;
   makeUpstream(answer);
