A request behind an answer that goes on has the time of its own arrival

What callers would see: a request pipelined behind an answer that goes on past its client's time had its whole time anew when that answer ended, so its host was told a deadline that its client no longer waited for, and its final answer came as much too late. Cause: while an answer was written nothing was read, so the arrival of what came then was unknown and counted from the end of that answer. Answers above 64 KiB had it before; now each answer may go on for seconds. Change: up to 64 KiB behind an answer are read while it is written, with their arrival, if the connection goes on; more waits at the socket, and a half close is left for later as before. Evidence: PipelinedRequestBehindAStreamedResponseArrivesWithItsLastByte fails on the code before (arrival 50 ms late, as long as the answer went on) and passes.

--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -106,7 +106,8 @@
 // Called when the socket is readable. Bytes are read into the server's buffer, and only those that wait for
 // more, or for their turn, are kept in the session's.
 void HttpServer::Session::readable() {
-  if (isAnswering() || state_ == State::closed) return;
+  if (state_ == State::closed) return;
+  if (isAnswering()) return readBehindResponse();
   error_code ec;
   const std::size_t size = bodyBegun_ || aheadOverrun_ ? kBodyReadSize : kReadSize;
   const std::size_t received = readSome(socket_, asio::buffer(server_->readBuffer_.data(), size), ec);
@@ -293,6 +294,26 @@
   dropAhead(buffer_.size());
 }
 
+// While a response is written, which may go on for as long as its endpoint writes, pipelined requests are
+// read for the time of their arrival: their client timeout runs. What is above the limit waits at the socket,
+// and a disconnect is seen by the next write.
+void HttpServer::Session::readBehindResponse() {
+  if (!keepAfter_ || buffer_.size() >= kMaxAheadBytes) return;
+  error_code ec;
+  const std::size_t received = readSome(socket_, asio::buffer(server_->readBuffer_.data(), kReadSize), ec);
+  if (wouldBlock(ec)) return waitReadable();
+  if (ec) return;
+  lastInputAt_ = Clock::now();
+  try {
+    append({server_->readBuffer_.data(), received});
+  } catch (const std::bad_alloc&) {
+    keepAfter_ = false;  // the connection ends behind the response
+    return;
+  }
+  recordAhead();
+  if (server_->makeRequestRoom(*this)) waitReadable();
+}
+
 // Drops the pipelined bytes, of which `bytes` have just been read.
 void HttpServer::Session::dropAhead(std::size_t bytes) {
   droppedAheadBytes_ += bytes;
--- a/src/http/session.hpp
+++ b/src/http/session.hpp
@@ -69,6 +69,7 @@
 
   // While a response is pending. "Ahead" are the bytes of pipelined requests.
   void readAhead();
+  void readBehindResponse();
   void recordAhead();
   Clock::time_point requestArrival();
   void pauseReading();
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -221,6 +221,41 @@
       }
 }
 
+// The same behind a response that goes on while its endpoint writes.
+TEST_F(ServerTest, PipelinedRequestBehindAStreamedResponseArrivesWithItsLastByte) {
+  using Clock = std::chrono::steady_clock;
+  const auto waitAWhile = [&] {
+    const auto from = Clock::now();
+    return until([&] { return Clock::now() - from > 50ms; });
+  };
+  start();
+  auto client = connect();
+  client->send(kRequest);
+  ASSERT_TRUE(until([&] { return requests.size() == 1; }));
+  HttpResponse response;
+  response.fromEndpoint = true;
+  response.body = "first ";
+  response.rest = std::make_shared<BodyStream>(1 << 10);
+  const auto rest = response.rest;
+  server->respond(requests.at(0).exchange, std::move(response));
+  ASSERT_TRUE(until([&] { return client->read().find("first") != std::string::npos; }));
+  const auto before = Clock::now();
+  client->send(kRequest);
+  ASSERT_TRUE(until([&] { return client->delivered(); }));
+  for (int i = 0; i < 20; ++i) io.poll();
+  const auto after = Clock::now();
+  ASSERT_TRUE(waitAWhile());
+  EXPECT_EQ(requests.size(), 1u) << "one request at a time";
+  rest->put("last");
+  rest->finish();
+  ASSERT_TRUE(until([&] { return requests.size() == 2; }));
+  EXPECT_GE(requests[1].receivedAt, before);
+  EXPECT_LE(requests[1].receivedAt, after);
+  respond(1, "second");
+  ASSERT_TRUE(until([&] { return client->read().find("second") != std::string::npos; }));
+  EXPECT_FALSE(client->ended);
+}
+
 // The client timeout of a request starts at its last byte, also if it waits behind others on its connection.
 TEST_F(ServerTest, PipelinedRequestArrivesWithItsLastByte) {
   using Clock = std::chrono::steady_clock;
