A request that its host has only in part is not given up at the limit

What callers saw: 502 at the objective (limits of 192 to 309 ms) for requests of 420 to 640 KB, while their host read them; the host had the whole of them later and ran them for nobody. Cause: such a request is written whole to the own system, the host's window opens in steps of 64 KB, and no step falls between the baseline and so short a limit: silence, as it seemed. Change: of a request that is written whole, and of which the host's system has a part and no more, no answer can be due; it is awaited until the client's time, unless nothing of it was taken (a host that is gone) or none for 2.5 s. Why it works: a host begins with the last byte, so until its system has that its silence says nothing. What it costs: a host that hangs amid such a request is given up later.

--- a/src/http/request_progress.hpp
+++ b/src/http/request_progress.hpp
@@ -28,6 +28,12 @@
   }
   // Whether the host reads it: bytes were taken beyond the baseline, the latest not long ago.
   bool isBeingTaken(Time now) const { return lastTakenAt_ && now - *lastTakenAt_ <= kLongestPause; }
+  // Whether the host can't answer yet: of the request, which is written whole, its system has taken a part
+  // and no more. A window opens in steps, which may be further apart than the limit is away.
+  bool isPartlyTaken(Time now, std::size_t writtenBytes) const {
+    return taken_ > 0 && taken_ < writtenBytes &&
+           now - lastTakenAt_.value_or(baselineUntil_) <= kLongestPause;
+  }
   // Until then bytes are taken by the buffers of the host's system, whether its program reads or not.
   Time baselineUntil() const { return baselineUntil_; }
 
@@ -40,7 +46,7 @@
   static constexpr std::chrono::milliseconds kLongestPause{2500};
 
   std::size_t taken_ = 0;
-  bool hasBaseline_ = false;         // taken_ was sampled when the host's system had taken what it does at once
+  bool hasBaseline_ = false;  // taken_ was sampled when the host's system had taken what it does at once
   std::optional<Time> lastTakenAt_;  // beyond the baseline; empty: never
   Time baselineUntil_{};
 };
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -223,7 +223,9 @@
 // The load balancer's limit is there to decide on a retry, or on giving up a silent endpoint. A response that
 // has begun is neither: the rest of it is awaited.
 void HttpConnection::onResponseStartLimit() {
-  if (hasResponseBegun() || isRequestBeingTaken()) return delayResponse();
+  if (hasResponseBegun() || isRequestBeingTaken() ||
+      progress_.isPartlyTaken(Clock::now(), writer_.writtenBytes()))
+    return delayResponse();
   expiredLimit_ = AttemptLimit::responseStart;
   end(Outcome::timeout);
 }
--- a/tests/http/delayed_response_test.cpp
+++ b/tests/http/delayed_response_test.cpp
@@ -307,6 +307,19 @@
   EXPECT_EQ(outcome().outcome, Outcome::served);
 }
 
+// It is written whole, but its host's system has room for a part of it only until the program reads.
+TEST_F(DelayedResponseTest, RequestThatItsHostHasOnlyInPartIsAwaitedBeyondTheLimit) {
+  body.assign(512 << 10, 'r');
+  DeafListener host(io);
+  startAt(host.endpoint, 200ms, 60s);
+  ASSERT_TRUE(until([&] { return std::chrono::steady_clock::now() > startedAt + 500ms; }));
+  ASSERT_TRUE(outcomes.empty());
+  host.readAll();
+  ASSERT_TRUE(until([&] { return host.taken.at(0)->received > body.size(); }));
+  host.taken.at(0)->send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  EXPECT_EQ(outcome().outcome, Outcome::served);
+}
+
 TEST_F(DelayedResponseTest, RequestThatItsHostDoesNotReadEndsAtTheLimitAsNeverRun) {
   body.assign(16 << 20, 'r');
   DeafListener host(io);
--- a/tests/http/request_progress_test.cpp
+++ b/tests/http/request_progress_test.cpp
@@ -48,6 +48,19 @@
   EXPECT_TRUE(progress.isBeingTaken(start + 60ms));
 }
 
+TEST_F(RequestProgressTest, RequestOfWhichTheHostsSystemHasOnlyAPartCantBeAnsweredYet) {
+  progress.begin(start, start + 200ms);
+  progress.sample(start + 50ms, 130'000);
+  progress.sample(start + 200ms, 130'000);
+  EXPECT_FALSE(progress.isBeingTaken(start + 200ms));
+  EXPECT_TRUE(progress.isPartlyTaken(start + 200ms, 500'000));
+  EXPECT_FALSE(progress.isPartlyTaken(start + 200ms, 130'000)) << "it has the whole of it";
+  EXPECT_FALSE(progress.isPartlyTaken(start + 2600ms, 500'000)) << "it has been silent for too long";
+  progress.begin(start, start + 200ms);
+  progress.sample(start + 200ms, 0);
+  EXPECT_FALSE(progress.isPartlyTaken(start + 200ms, 500'000)) << "it takes nothing: it may be gone";
+}
+
 TEST_F(RequestProgressTest, NextRequestBeginsAnew) {
   progress.begin(start, start + 400ms);
   progress.sample(start + 50ms, 90'000);
