A terminated stand-in's port stays reserved in the stale list's test

No stand-in of this test says so; gateway_test's do, which ran beside it: the port of the terminated endpoint was given to one of them, and the gateway's probe with a real request found it serving. Not reproduced; likeliest by the body.

--- a/tests/membership/stale_list_test.cpp
+++ b/tests/membership/stale_list_test.cpp
@@ -53,6 +53,7 @@
   std::vector<std::unique_ptr<Peer>> endpoints;
   json config = configJson();
   Gateway::Waits waits = longWatches();
+  std::vector<std::unique_ptr<ReservedPort>> terminatedPorts;
   std::unique_ptr<Gateway> gateway;
   int requests = 0;  // number of requests sent
 
@@ -64,9 +65,11 @@
     discovery.list.push_back(target(uid, endpoints.back()->endpoint));
     return *endpoints.back();
   }
+  // Its port stays reserved: a test that runs beside this one could answer there.
   void terminate(Peer& endpoint) {
     endpoint.stopListening();
     for (auto& connection : endpoint.connections) connection->reset();
+    terminatedPorts.push_back(std::make_unique<ReservedPort>(io, endpoint.endpoint.port()));
   }
   void start() {
     config["discovery"] = textOf(discovery.peer.endpoint);
