A keyed call that may have run is not rejected when its delayed attempt never ran

What callers saw: a keyed request whose first attempt had run got 503 (-32001), and its repeat ran in the other zone.

Cause: once the rest of an answer is awaited the engine decides on the reply, and Engine::finishDelayed asked whether this attempt may have been executed, not whether any attempt of the call may have been.

Change: one rule, mayBeRejected, for each reply on which the engine decides: delayed and ended, overdue, before a kill. It asks all attempts of the call. An attempt whose answer is delayed counts as open until it ends, in place of as executed, so that a call whose attempts were all turned away is still rejected. Why it works: the rule reads what the end of each attempt has recorded, and no open attempt counts as proof.

Safe calls that would outlast a kill are rejected now, as everywhere else; they were failed.

--- a/src/core/active_call.hpp
+++ b/src/core/active_call.hpp
@@ -22,7 +22,7 @@
   std::uint32_t attemptsStarted = 0;           // that were passed to the upstream
   std::uint32_t latestAttempt = 0;             // number of the last attempt that was passed to the upstream
   policy::Timestamp latestAttemptStartedAt{};  // start of that attempt
-  // Start of the first attempt that may have been executed; empty if there is none. Set once.
+  // Start of the first attempt that has ended and may have been executed; empty if there is none. Set once.
   std::optional<policy::Timestamp> mayHaveExecutedAt;
   // The call was replied to, or its client has disconnected. Never reset; no attempt starts afterwards.
   bool settled = false;
@@ -35,6 +35,9 @@
     streamed  // the answer is being passed on: the call is settled, but its reply is not counted yet
   };
   ResponsePhase responsePhase = ResponsePhase::none;
+
+  // Whether an attempt has not ended yet, so that it may still be executed.
+  bool hasOpenAttempt() const { return attemptsInFlight > 0 || responsePhase != ResponsePhase::none; }
 };
 
 }  // namespace cairnjunction
--- a/src/core/attempt_rules.cpp
+++ b/src/core/attempt_rules.cpp
@@ -16,6 +16,10 @@
   return outcome != Outcome::overloaded && outcome != Outcome::connectFailed && outcome != Outcome::notSent;
 }
 
+bool mayBeRejected(const ActiveCall& call) {
+  return call.isSafe || (!call.mayHaveExecutedAt && !call.hasOpenAttempt());
+}
+
 WriteDeadline writeDeadline(const ActiveCall& call, const policy::ClassSettings* callClass) {
   if (!call.mayHaveExecutedAt) return {WriteDeadline::Kind::unlimited, {}};
   const policy::Idempotency idempotency =
@@ -37,7 +41,7 @@
   if (limited && write.time <= now) return {AttemptPermission::dedupWindowPassed, {}};
   if (write.kind == WriteDeadline::Kind::never) return {AttemptPermission::notRepeatable, {}};
   if (call.settled) return {AttemptPermission::callSettled, {}};
-  if (call.attemptsInFlight > 0) return {AttemptPermission::attemptInFlight, {}};
+  if (call.hasOpenAttempt()) return {AttemptPermission::attemptInFlight, {}};
   if (call.deadline <= now) return {AttemptPermission::deadlinePassed, {}};
   return {AttemptPermission::allowed, limited ? write.time - now : policy::Duration::max()};
 }
--- a/src/core/attempt_rules.hpp
+++ b/src/core/attempt_rules.hpp
@@ -44,6 +44,10 @@
 // Returns false if the outcome proves that no worker executed the call.
 bool mayHaveExecuted(policy::Outcome outcome);
 
+// Whether the call may be rejected, which tells its client that a repeat is harmless: it has no effect, or
+// each of its attempts has ended and is proved not to have been executed.
+bool mayBeRejected(const ActiveCall& call);
+
 // Unlimited as long as no attempt may have been executed. After that a safe call may be repeated at any time,
 // a keyed call within its dedup window, which counts from the first attempt that may have been executed, and
 // an unsafe call never. `callClass` is the call's class; null (unknown class) counts as unsafe.
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -83,8 +83,7 @@
   for (const CallId id : calls_.unsettledWithDeadlineAfter(kill)) {
     ActiveCall* const call = calls_.find(id);
     if (call == nullptr || call->settled) continue;  // settled as a consequence of an earlier reply
-    const bool neverExecuted = call->attemptsInFlight == 0 && !call->mayHaveExecutedAt;
-    reply(id, *call, {neverExecuted ? ReplyStatus::rejected : ReplyStatus::failed, {}, {}});
+    replyUnserved(id, *call);
     cancelAttempts(id);
   }
 }
@@ -133,7 +132,6 @@
   call->responsePhase = ResponsePhase::delayed;
   calls_.markDelayed(outcome.key.call);
   scheduleWake(call->deadline + kLatestReply);
-  if (!call->mayHaveExecutedAt) call->mayHaveExecutedAt = call->latestAttemptStartedAt;
   attemptLog_.onDelay(runtime_.now(), call->call.externalId, outcome, balancer_.address(outcome.endpoint));
   reportToLoadBalancer(outcome, true);
   executeActions();
@@ -161,28 +159,33 @@
                                          " endpoint=" + balancer_.address(outcome.endpoint) +
                                          " executed=" + (mayHaveExecuted(outcome.outcome) ? "maybe" : "no"));
   if (outcome.outcome != Outcome::served) logFailure(*call, outcome);
-  if (mayHaveExecuted(outcome.outcome) && !call->mayHaveExecutedAt)
-    call->mayHaveExecutedAt = call->latestAttemptStartedAt;
+  recordExecution(*call, outcome.outcome);
   calls_.markPossiblyFinished(id);
   if (outcome.outcome == Outcome::served && !call->settled)
     reply(id, *call, {ReplyStatus::ok, std::move(outcome.response), {}});
   reportToLoadBalancer(outcome, call->settled);
 }
 
+// To be called at the end of the call's latest attempt.
+void Engine::recordExecution(ActiveCall& call, Outcome outcome) {
+  if (mayHaveExecuted(outcome) && !call.mayHaveExecutedAt)
+    call.mayHaveExecutedAt = call.latestAttemptStartedAt;
+}
+
 // The load balancer has closed the request, so what becomes of the call is decided here.
 void Engine::finishDelayed(CallId id, ActiveCall& call, AttemptOutcome outcome) {
   calls_.markPossiblyFinished(id);
   const bool served = outcome.outcome == Outcome::served;
   if (!served) logFailure(call, outcome);
+  recordExecution(call, outcome.outcome);
   if (call.settled) return;
   if (served) return reply(id, call, {ReplyStatus::ok, std::move(outcome.response), {}});
-  replyUnserved(id, call, mayHaveExecuted(outcome.outcome));
+  replyUnserved(id, call);
 }
 
-// Of a call that the load balancer has closed.
-void Engine::replyUnserved(CallId id, ActiveCall& call, bool mayHaveExecuted) {
-  const bool isRepeatable = call.isSafe || !mayHaveExecuted;
-  reply(id, call, {isRepeatable ? ReplyStatus::rejected : ReplyStatus::failed, {}, {}});
+// Of a call on which the load balancer does not decide: all its attempts count, not only the latest.
+void Engine::replyUnserved(CallId id, ActiveCall& call) {
+  reply(id, call, {mayBeRejected(call) ? ReplyStatus::rejected : ReplyStatus::failed, {}, {}});
 }
 
 // An upstream may need longer to end an attempt than the client can be kept waiting for its final answer.
@@ -190,7 +193,7 @@
   for (const CallId id : calls_.takeDelayedWithDeadlineBefore(now - kLatestReply + Duration(1))) {
     ActiveCall* const call = calls_.find(id);
     if (call == nullptr || call->settled) continue;  // settled as a consequence of an earlier reply
-    replyUnserved(id, *call, true);
+    replyUnserved(id, *call);
     cancelAttempts(id);
   }
   if (const auto next = calls_.earliestDelayedDeadline()) scheduleWake(*next + kLatestReply);
@@ -200,7 +203,7 @@
   calls_.markPossiblyFinished(id);
   call.served = outcome.outcome == Outcome::served;
   if (!call.served) logFailure(call, outcome);
-  if (!call.mayHaveExecutedAt) call.mayHaveExecutedAt = call.latestAttemptStartedAt;
+  recordExecution(call, Outcome::served);  // its answer had begun
   countReply(call, call.served ? ReplyStatus::ok : ReplyStatus::failed);
 }
 
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -130,8 +130,9 @@
   void scheduleWake(policy::Timestamp at);
   void cancelAttempts(CallId id);
   void endOverdueCalls(policy::Timestamp now);
-  void replyUnserved(CallId id, ActiveCall& call, bool mayHaveExecuted);
+  void replyUnserved(CallId id, ActiveCall& call);
   void finishAttempt(AttemptOutcome outcome);
+  static void recordExecution(ActiveCall& call, policy::Outcome outcome);
   void finishDelayed(CallId id, ActiveCall& call, AttemptOutcome outcome);
   void finishStreamed(CallId id, ActiveCall& call, const AttemptOutcome& outcome);
   void logFailure(const ActiveCall& call, const AttemptOutcome& outcome);
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -72,6 +72,7 @@
   std::size_t overlaps = 0, late = 0, outsideWindow = 0;
   std::map<std::string, Timestamp> windowEnd;  // of keyed calls that may have been executed, by external id
   std::map<std::string, Timestamp> deadlines;  // by external id
+  std::set<std::string> mayHaveExecuted;  // external ids of calls that an ended attempt may have executed
 
   void start(AttemptKey key, policy::EndpointId endpoint, const Call& call,
              const AttemptTimeouts& timeouts) override {
@@ -100,6 +101,8 @@
   void end(AttemptKey key, Outcome outcome) {
     const Started attempt = inFlight.at(key.call).at(key.attempt);
     inFlight[key.call].erase(key.attempt);
+    if (outcome != Outcome::overloaded && outcome != Outcome::connectFailed)
+      mayHaveExecuted.insert(attempt.externalId);
     AttemptOutcome ended{key, attempt.endpoint, outcome, 1ms, {}};
     ended.response.body = attempt.externalId;
     engine->attemptEnded(std::move(ended));
@@ -428,8 +431,23 @@
 class DelayedAnswer : public EngineTest {
  protected:
   // The upstream reports that the answer has begun and is not complete at the objective.
-  void delay(CallId id) {
-    engine->responseDelayed({{id, 0}, upstream.inFlight[id].at(0).endpoint, Outcome::served, 1ms, {}});
+  void delay(CallId id, std::uint32_t attempt = 0) {
+    engine->responseDelayed(
+        {{id, attempt}, upstream.inFlight[id].at(attempt).endpoint, Outcome::served, 1ms, {}});
+  }
+  // A call whose attempt 0 has ended with `first`, and the answer to whose attempt 1 is delayed.
+  CallId delayedAfter(Outcome first, std::uint32_t classIndex, const std::string& externalId) {
+    const CallId id = acceptCall(classIndex, externalId);
+    upstream.end({id, 0}, first);
+    EXPECT_EQ(upstream.inFlight[id].count(1), 1u) << externalId << " was not retried";
+    if (upstream.inFlight[id].contains(1)) delay(id, 1);
+    return id;
+  }
+  // The status of the latest call's only reply.
+  std::optional<ReplyStatus> replyStatus() const {
+    const auto replies = sink.replies.find(token);
+    if (replies == sink.replies.end() || replies->second.size() != 1) return std::nullopt;
+    return replies->second.front().status;
   }
 };
 
@@ -464,6 +482,50 @@
   EXPECT_EQ(engine->activeCalls(), 0u);
 }
 
+// A call that an earlier attempt may have executed was rejected because its delayed attempt never ran, and
+// its client sent it again.
+TEST_F(DelayedAnswer, ThatSaysItNeverRanDoesNotRejectACallThatMayHaveRunBefore) {
+  for (const Outcome first : {Outcome::reset, Outcome::timeout, Outcome::error, Outcome::cancelled})
+    for (const Outcome second : {Outcome::overloaded, Outcome::connectFailed}) {
+      start();
+      SCOPED_TRACE(std::string(nameOf(first)) + ", then " + std::string(nameOf(second)));
+      const CallId keyed = delayedAfter(first, 2, "keyed");
+      upstream.end({keyed, 1}, second);
+      EXPECT_EQ(replyStatus(), ReplyStatus::failed);
+      const CallId safe = delayedAfter(first, 0, "safe");
+      upstream.end({safe, 1}, second);
+      EXPECT_EQ(replyStatus(), ReplyStatus::rejected) << "a safe call may always be repeated";
+      EXPECT_EQ(engine->activeCalls(), 0u);
+    }
+}
+
+TEST_F(DelayedAnswer, ThatSaysItNeverRanRejectsACallThatNeverRan) {
+  for (const Outcome first : {Outcome::overloaded, Outcome::connectFailed})
+    for (const std::uint32_t classIndex : {0u, 1u, 2u}) {
+      start();
+      SCOPED_TRACE(std::string(nameOf(first)) + ", class " + std::to_string(classIndex));
+      const CallId id = delayedAfter(first, classIndex, "a");
+      upstream.end({id, 1}, Outcome::overloaded);
+      EXPECT_EQ(replyStatus(), ReplyStatus::rejected);
+      const CallId atOnce = acceptCall(classIndex, "b");
+      delay(atOnce);
+      upstream.end({atOnce, 0}, Outcome::overloaded);
+      EXPECT_EQ(replyStatus(), ReplyStatus::rejected);
+    }
+}
+
+// An attempt whose answer is delayed may have been executed until its end says otherwise.
+TEST_F(DelayedAnswer, IsNoProofThatAnUnsafeCallNeverRan) {
+  start();
+  const CallId overdue = delayedAfter(Outcome::connectFailed, 1, "overdue");
+  advance(2s);
+  EXPECT_EQ(replyStatus(), ReplyStatus::failed);
+  EXPECT_EQ(upstream.cancels.back(), (AttemptKey{overdue, 1}));
+  delayedAfter(Outcome::connectFailed, 1, "killed");
+  engine->failCallsPast(runtime.at + 100ms);
+  EXPECT_EQ(replyStatus(), ReplyStatus::failed);
+}
+
 // The client is owed its final answer, however long the upstream takes to end the attempt.
 TEST_F(DelayedAnswer, HasItsReplyHalfASecondBehindItsDeadlineAtTheLatest) {
   start();
@@ -541,7 +603,7 @@
 // Random events of all kinds. Expected in every run: each call has one reply, or none if its client has
 // disconnected; no attempts of a call overlap; none starts at or after the deadline, or after its client has
 // disconnected; an unsafe call is repeated only if no attempt of it may have been executed, and a keyed call
-// only within its dedup window.
+// only within its dedup window; neither is rejected if an attempt of it may have been executed.
 class EngineProperty : public EngineTest, public ::testing::WithParamInterface<int> {};
 
 TEST_P(EngineProperty, OneReplyAndNoOverlapUnderRandomEvents) {
@@ -552,6 +614,7 @@
   policy::Settings policySettings = settings(random());
   policySettings.cancelAllowed = GetParam() % 4 != 1;
   policySettings.classes[2].dedupWindow = GetParam() % 3 == 1 ? 150ms : 2000ms;
+  policySettings.classes[2].dedupScope = policy::DedupScope::zone;  // it has all endpoints
   start(policySettings, 4);
   const std::vector<Outcome> outcomes{Outcome::served,  Outcome::error, Outcome::overloaded,
                                       Outcome::timeout, Outcome::reset, Outcome::connectFailed,
@@ -637,6 +700,13 @@
     EXPECT_EQ(sink.replies.count(callToken) ? sink.replies[callToken].size() : 0u,
               disconnected.count(callToken) ? 0u : 1u)
         << callToken;
+  for (const auto& [id, callToken] : tokens) {
+    const bool rejected =
+        sink.replies.count(callToken) && sink.replies[callToken].front().status == ReplyStatus::rejected;
+    const std::string& externalId = externalIds[id];
+    if (rejected && externalId[0] != '0')
+      EXPECT_FALSE(upstream.mayHaveExecuted.contains(externalId)) << externalId;
+  }
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, EngineProperty, ::testing::Range(1, 25));
 
