A keyed call that may have run is not rejected where all endpoints deduplicate it

What callers see: a keyed call of group `all` whose attempt ends as reset or error, with no attempt behind it, got 503 or -32001. Its repeat runs twice if the client sends it when the dedup window is over. The rule of the service: an unsafe or keyed call that may have run is never told as refused.

Change: the engine applies mayBeRejected to the rejections of the load balancer too. Why it works: every reply now passes the same rule on all attempts of its call. The decision module and its recorded decisions are as they were.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -387,7 +387,9 @@
 void Engine::rejectOrFail(const Action& action) {
   ActiveCall* const call = calls_.find(action.request);
   if (call == nullptr || call->settled) return;
-  if (action.kind == ActionKind::reject)
+  // The load balancer would also reject a keyed call whose repeat any endpoint drops; but the client may
+  // repeat it when the dedup window is over.
+  if (action.kind == ActionKind::reject && mayBeRejected(*call))
     reply(action.request, *call, {ReplyStatus::rejected, {}, action.retryAfter});
   else reply(action.request, *call, {ReplyStatus::failed, {}, {}});
 }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -14,6 +14,7 @@
 //    deadline and before the call has its reply;
 //  - no repeated effect: once an attempt may have been executed, an unsafe call is not sent again, and a
 //    keyed call is written only within its dedup window, counted from the start of the first such attempt.
+//    Neither is rejected then, which would tell its client that a repeat is harmless.
 #pragma once
 
 #include <cstddef>
--- a/tests/app/refusal_test.cpp
+++ b/tests/app/refusal_test.cpp
@@ -244,6 +244,14 @@
   expectAll(false);
 }
 
+// Its repeat may come behind the dedup window, also where all endpoints drop duplicates.
+TEST_P(RefusalTest, KeyedCallThatAllEndpointsDeduplicateIsFailedToo) {
+  Case::Setting deduplicatedByAll = setting("put");
+  deduplicatedByAll.dedupScope = "all";
+  add(deduplicatedByAll, mayHaveRunFirst(), anything());
+  expectAll(false);
+}
+
 TEST_P(RefusalTest, CallWhoseSecondAttemptMayHaveRunIsFailed) {
   for (const char* className : {"put", "write"})
     add(setting(className), {neverRanAtAll().front()}, joined(mayHaveRunFirst(), unknown()));
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -588,6 +588,25 @@
   EXPECT_EQ(engine->endpointCounts().avoided, 0u);
 }
 
+// The load balancer may reject a keyed call whose repeat any endpoint would drop. Its client may come back
+// when the dedup window is over, and the call ran twice.
+TEST_F(EngineTest, KeyedCallThatMayHaveRunIsFailedThoughEachEndpointWouldDropItsRepeat) {
+  for (const auto& [outcome, status] :
+       {std::pair{Outcome::reset, ReplyStatus::failed}, std::pair{Outcome::error, ReplyStatus::failed},
+        std::pair{Outcome::timeout, ReplyStatus::failed},
+        std::pair{Outcome::overloaded, ReplyStatus::rejected}}) {
+    policy::Settings policySettings = settings(7);
+    policySettings.classes[2].dedupScope = policy::DedupScope::all;
+    policySettings.maxAttempts = 1;
+    start(policySettings);
+    const CallId id = acceptCall(2, "a");
+    upstream.end({id, 0}, outcome);
+    ASSERT_EQ(sink.replies[token].size(), 1u);
+    EXPECT_EQ(sink.replies[token][0].status, status);
+    EXPECT_EQ(engine->violations(), 0u) << "its rules allow it";
+  }
+}
+
 TEST_F(EngineTest, NextCallMayBeAcceptedFromWithinAReply) {
   start();
   upstream.outcomeOnStart = [] { return Outcome::served; };
@@ -614,7 +633,8 @@
   policy::Settings policySettings = settings(random());
   policySettings.cancelAllowed = GetParam() % 4 != 1;
   policySettings.classes[2].dedupWindow = GetParam() % 3 == 1 ? 150ms : 2000ms;
-  policySettings.classes[2].dedupScope = policy::DedupScope::zone;  // it has all endpoints
+  policySettings.classes[2].dedupScope =
+      GetParam() % 2 == 0 ? policy::DedupScope::zone : policy::DedupScope::all;  // the zone has all endpoints
   start(policySettings, 4);
   const std::vector<Outcome> outcomes{Outcome::served,  Outcome::error, Outcome::overloaded,
                                       Outcome::timeout, Outcome::reset, Outcome::connectFailed,
