Requests behind one in error whose end is known are answered

What callers saw: of several requests sent at once on an HTTP connection, those behind a 404 (a class that SIGHUP removed), 405 or 400 of the gateway's own were read, dropped and never answered.

Cause: Session::respond closed the connection behind each 4xx that the gateway gives itself, also to a request that was read to its end.

Change: the connection ends where the end of a request can't be known (reject), where the client asked for it, or in a stop. HttpResponse::fromEndpoint has no user left and is gone. Why it works: what stands behind a request that was parsed to its end is the next request, whatever the answer was.

--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -282,7 +282,6 @@
   if (const auto known = openCalls_.find(ticket); known != openCalls_.end()) removeCall(known);
   HttpResponse response;
   if (reply.status == ReplyStatus::ok) {
-    response.fromEndpoint = true;
     if (reply.message.declined) response.status = http::status::unprocessable_entity;
     response.fields = std::move(reply.message.fields);
     if (reply.message.format == Format::json) response.fields.add("Content-Type", "application/json");
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -30,7 +30,6 @@
   std::string body;
   std::shared_ptr<BodyStream> rest;     // streamed part of the body, after `body`; null: `body` is complete
   std::optional<std::uint64_t> length;  // with `rest`: bytes of both together, if known
-  bool fromEndpoint = false;  // the response is an endpoint's, so its status is no error found by the gateway
 };
 
 // How the end of a response body is marked (RFC 9112, 6.3).
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -366,13 +366,10 @@
 void HttpServer::Session::respond(HttpResponse response) {
   enter(State::writing);
   exchange_ = 0;
-  // After a client error that the gateway found itself, the connection is closed: the bytes that follow may
-  // be no request, and each error costs as much as a valid request.
-  const bool error = http::to_status_class(response.status) == http::status_class::client_error;
   // In a graceful shutdown pipelined requests that have already arrived would be lost if the connection
   // closed after this response. So it stays open until none is left.
   const bool last = server_->closeAfterResponse_ && hasNoInput();
-  const bool keep = keepAlive_ && !aheadOverrun_ && !last && (response.fromEndpoint || !error);
+  const bool keep = keepAlive_ && !aheadOverrun_ && !last;
   rest_ = std::move(response.rest);
   // HTTP/1.0 has no chunked coding: there the response ends with the connection.
   framing_ = !rest_ || response.length ? Framing::length : isHttp10_ ? Framing::close : Framing::chunks;
