Discovery is called again within 3 s of a failed call, whatever the interval is

What callers saw: after an outage of discovery a draining host got new requests for up to 9 s behind discovery's return; 6.55 s are allowed.

Cause: EndpointListPoller's pause after failed calls grew to a fifth of askWithinNs, up to 8 s, times 0.5 to 1.5. With askWithinNs of 10 s it is 1 to 3 s, with 30 s it was 3 to 9 s.

Change: the pause is 2 s at most before its jitter. Why it works: a call that began before the return and hangs (2.25 s) and the longest pause (3 s) leave 0.75 s of the 6 s for the next answer. Intervals of 10 s and less behave as before. 300 gateways make 150 calls a second in an outage, on paper: one each 2 s in the mean, evenly spread over 1 to 3 s.

--- a/src/policy/endpoint_list_poller.cpp
+++ b/src/policy/endpoint_list_poller.cpp
@@ -10,6 +10,9 @@
 constexpr Duration kInitialPollBackoff =
     std::chrono::milliseconds(500);  // doubled with each consecutive failure, including the first
 constexpr int kMaxPollBackoffDoublings = 4;
+// A change counts as notified 6 s after discovery is back at the latest: a call that fails then, the longest
+// pause (one and a half times this) and the next call fit in.
+constexpr Duration kMaxPollBackoff = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -25,7 +28,7 @@
 void EndpointListPoller::onUnavailable(Timestamp now, Random& random) {
   consecutiveFailures_ = std::min(consecutiveFailures_ + 1, kMaxPollBackoffDoublings);
   pollStarted_ = false;
-  Duration wait = kInitialPollBackoff * (1 << consecutiveFailures_);
+  Duration wait = std::min(kInitialPollBackoff * (1 << consecutiveFailures_), kMaxPollBackoff);
   // The limit applies before the jitter; applied after it, all gateways would poll at the same time.
   if (settings_.maxPollInterval > Duration{}) wait = std::min(wait, settings_.maxPollInterval / 5);
   nextPollAt_ = now + scaled(wait, 0.5 + random.unit());
--- a/tests/policy/endpoint_list_poller_test.cpp
+++ b/tests/policy/endpoint_list_poller_test.cpp
@@ -49,6 +49,23 @@
   }
 }
 
+// With a long interval the pause grew to 9 s, and a change that discovery had after an outage came too late.
+TEST(EndpointListPoller, PausesForThreeSecondsAtMostWhateverTheIntervalIs) {
+  for (const Duration interval :
+       {Duration{}, Duration(seconds(5)), Duration(seconds(30)), Duration(seconds(600))}) {
+    Settings settings = pollingSettings();
+    settings.maxPollInterval = interval;
+    EndpointListPoller poller(settings);
+    Random random(1);
+    Timestamp now = kStart;
+    for (int failure = 0; failure < 1000; ++failure) {
+      ASSERT_TRUE(poller.startPollIfDue(now));
+      poller.onUnavailable(now, random);
+      now += seconds(3);
+    }
+  }
+}
+
 // The answer to a poll was lost. Without another poll this gateway would never get a list.
 TEST(EndpointListPoller, UnansweredPollIsRepeated) {
   const Settings settings = pollingSettings();
