Two different ids in one request are tested again

Cause: took a row with two different X-Request-Id fields out of WhereAMessageEndsMayNotBeInDoubt and put one with the same id twice into the new test, which is less strict.

--- a/tests/app/gateway_test.cpp
+++ b/tests/app/gateway_test.cpp
@@ -622,6 +622,7 @@
                 {"PUT /write HTTP/1.1\r\nHost: x\r\n" + id + end, 405},
                 {post + end, 400},
                 {post + id + id + end, 400},
+                {post + id + "X-Request-Id: e2\r\n" + end, 400},
                 {post + id + "X-Deadline-Ms: soon\r\n" + end, 400},
                 {post + "Host: y\r\n" + id + end, 400},
                 {"POST /write%2f HTTP/1.1\r\nHost: x\r\n" + id + end, 400},
