The log tells the steps of a shutdown, and why a request was refused or failed just then

Cause: the log of a process that was killed could not say how far its shutdown had come, what was open then, and which of the engine's rules gave a request its last reply.

Change: lines shutdown-step (begun, late-calls-limited, serving-ended, last-replies, ended) with the time until the earliest kill, the open calls and the connections; request-rejected and request-failed have cause= (load-balancer, response-ended, reply-overdue, shutdown).

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -389,6 +389,7 @@
   // serving.
   if (shared_ || serveOn() <= kAcceptOn) http_.server().lastAnswers();
   killAt_ = now() + killedAfter();
+  logShutdownStep("begun");
   drainTimer_.expires_after(kAcceptOn);
   drainTimer_.async_wait(lifetime_.guard([this](error_code ec) {
     if (ec) return;
@@ -397,6 +398,7 @@
     const Duration left = killAt_ - kDrainMargin - now();
     engine_.limitTimeRemaining(left);
     if (pools_) pools_->answerWithin(left);
+    logShutdownStep("late-calls-limited");
     if (shared_) return finishDrain();
     http_.server().stopListening();
     drainTimer_.expires_after(serveOn() - kAcceptOn);
@@ -406,7 +408,25 @@
   }));
 }
 
+// How far a graceful shutdown has come, and what is open then.
+void Gateway::logShutdownStep(std::string_view step) {
+  std::size_t calls = engine_.activeCalls(), awaiting = engine_.awaitingReply();
+  if (pools_)
+    for (const auto& pool : pools_->fixed()) {
+      calls += pool->engine().activeCalls();
+      awaiting += pool->engine().awaitingReply();
+    }
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(killAt_ - now());
+  std::string line = "shutdown-step step=" + std::string(step);
+  line += " kill_in_ms=" + std::to_string(left.count());
+  line += " calls=" + std::to_string(calls) + " awaiting_reply=" + std::to_string(awaiting);
+  line += " http_connections=" + std::to_string(http_.server().connections());
+  if (jsonRpc_) line += " jsonrpc_connections=" + std::to_string(jsonRpc_->connections());
+  log_(line);
+}
+
 void Gateway::finishDrain() {
+  logShutdownStep("serving-ended");
   http_.server().lastAnswers();
   jsonRpcEmpty_ = !jsonRpc_;
   http_.server().onEmpty = [this] { emptied(httpEmpty_); };
@@ -415,6 +435,7 @@
   drainTimer_.expires_at(clock_.at(killAt_ - kDrainMargin));
   drainTimer_.async_wait(lifetime_.guard([this](error_code ec) {
     if (ec) return;
+    logShutdownStep("last-replies");
     engine_.failCallsPast(killAt_);
     if (pools_) pools_->endCallsBeyond(killAt_ - now());
     if (jsonRpc_) jsonRpc_->stopReading();
@@ -423,7 +444,9 @@
 
 void Gateway::emptied(bool& front) {
   front = true;
-  if (httpEmpty_ && jsonRpcEmpty_ && drained_) std::exchange(drained_, nullptr)();
+  if (!httpEmpty_ || !jsonRpcEmpty_ || !drained_) return;
+  logShutdownStep("ended");
+  std::exchange(drained_, nullptr)();
 }
 
 }  // namespace cairnjunction
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "admin/admin_server.hpp"
 #include "admin/figures.hpp"
@@ -97,6 +98,7 @@
   policy::Duration killedAfter() const;
   policy::Duration serveOn() const;
   void finishDrain();
+  void logShutdownStep(std::string_view step);
   void appendConnectionFigures(admin::Figures& figures) const;
   void appendMemoryFigures(admin::Figures& figures) const;
   std::string answerOperator(std::string_view line) const;
--- a/src/core/attempt_log.cpp
+++ b/src/core/attempt_log.cpp
@@ -74,6 +74,16 @@
   return "unknown";
 }
 
+std::string_view nameOf(RefusalCause cause) {
+  switch (cause) {
+    case RefusalCause::loadBalancer: return "load-balancer";
+    case RefusalCause::responseEnded: return "response-ended";
+    case RefusalCause::replyOverdue: return "reply-overdue";
+    case RefusalCause::shutdown: return "shutdown";
+  }
+  return "unknown";
+}
+
 std::string_view nameOf(AttemptLimit limit) {
   switch (limit) {
     case AttemptLimit::none: return "none";
@@ -124,9 +134,11 @@
 }
 
 void AttemptLog::onRefusal(policy::Timestamp now, std::string_view request, ReplyStatus status,
-                           std::uint32_t attempts, Duration timeRemaining) {
+                           std::uint32_t attempts, Duration timeRemaining, RefusalCause cause) {
   const std::string_view event = status == ReplyStatus::rejected ? "request-rejected" : "request-failed";
-  replies_.log(now, requestLine(event, request, attempts, timeRemaining));
+  std::string line = requestLine(event, request, attempts, timeRemaining);
+  line.append(" cause=").append(nameOf(cause));
+  replies_.log(now, line);
 }
 
 }  // namespace cairnjunction
--- a/src/core/attempt_log.hpp
+++ b/src/core/attempt_log.hpp
@@ -18,6 +18,15 @@
 std::string_view nameOf(AttemptLimit limit);
 std::string_view nameOf(StreamReason reason);
 
+// Why a request got a reply other than ReplyStatus::ok just then.
+enum class RefusalCause {
+  loadBalancer,   // its decision
+  responseEnded,  // an answer that was under way past its limit came to nothing
+  replyOverdue,   // an answer was under way and the latest time of the reply had come
+  shutdown        // the process is about to be killed
+};
+std::string_view nameOf(RefusalCause cause);
+
 class AttemptLog {
  public:
   explicit AttemptLog(const RateLimitedLog::Write& write) : attempts_(write), replies_(write) {}
@@ -38,7 +47,7 @@
                     policy::Duration timeRemaining);
   // The request gets a reply other than ReplyStatus::ok. `attempts`: number of those that were started.
   void onRefusal(policy::Timestamp now, std::string_view request, ReplyStatus status, std::uint32_t attempts,
-                 policy::Duration timeRemaining);
+                 policy::Duration timeRemaining, RefusalCause cause);
 
  private:
   RateLimitedLog attempts_;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -83,7 +83,7 @@
   for (const CallId id : calls_.unsettledWithDeadlineAfter(kill)) {
     ActiveCall* const call = calls_.find(id);
     if (call == nullptr || call->settled) continue;  // settled as a consequence of an earlier reply
-    replyUnserved(id, *call);
+    replyUnserved(id, *call, RefusalCause::shutdown);
     cancelAttempts(id);
   }
 }
@@ -180,12 +180,12 @@
   recordExecution(call, outcome.outcome);
   if (call.settled) return;
   if (served) return reply(id, call, {ReplyStatus::ok, std::move(outcome.response), {}});
-  replyUnserved(id, call);
+  replyUnserved(id, call, RefusalCause::responseEnded);
 }
 
 // Of a call on which the load balancer does not decide: all its attempts count, not only the latest.
-void Engine::replyUnserved(CallId id, ActiveCall& call) {
-  reply(id, call, {mayBeRejected(call) ? ReplyStatus::rejected : ReplyStatus::failed, {}, {}});
+void Engine::replyUnserved(CallId id, ActiveCall& call, RefusalCause cause) {
+  reply(id, call, {mayBeRejected(call) ? ReplyStatus::rejected : ReplyStatus::failed, {}, {}}, cause);
 }
 
 // An upstream may need longer to end an attempt than the client can be kept waiting for its final answer.
@@ -193,7 +193,7 @@
   for (const CallId id : calls_.takeDelayedWithDeadlineBefore(now - kLatestReply + Duration(1))) {
     ActiveCall* const call = calls_.find(id);
     if (call == nullptr || call->settled) continue;  // settled as a consequence of an earlier reply
-    replyUnserved(id, *call);
+    replyUnserved(id, *call, RefusalCause::replyOverdue);
     cancelAttempts(id);
   }
   if (const auto next = calls_.earliestDelayedDeadline()) scheduleWake(*next + kLatestReply);
@@ -394,10 +394,11 @@
   else reply(action.request, *call, {ReplyStatus::failed, {}, {}});
 }
 
-void Engine::reply(CallId id, ActiveCall& call, Reply reply) {
+void Engine::reply(CallId id, ActiveCall& call, Reply reply, RefusalCause cause) {
+  const Timestamp now = runtime_.now();
   if (reply.status != ReplyStatus::ok)
-    attemptLog_.onRefusal(runtime_.now(), call.call.externalId, reply.status, call.attemptsStarted,
-                          call.deadline - runtime_.now());
+    attemptLog_.onRefusal(now, call.call.externalId, reply.status, call.attemptsStarted, call.deadline - now,
+                          cause);
   call.settled = true;
   const bool streamed = call.responsePhase == ResponsePhase::streamed;
   call.served = reply.status == ReplyStatus::ok && !streamed;
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -131,7 +131,7 @@
   void scheduleWake(policy::Timestamp at);
   void cancelAttempts(CallId id);
   void endOverdueCalls(policy::Timestamp now);
-  void replyUnserved(CallId id, ActiveCall& call);
+  void replyUnserved(CallId id, ActiveCall& call, RefusalCause cause);
   void finishAttempt(AttemptOutcome outcome);
   static void recordExecution(ActiveCall& call, policy::Outcome outcome);
   void finishDelayed(CallId id, ActiveCall& call, AttemptOutcome outcome);
@@ -139,7 +139,7 @@
   void logFailure(const ActiveCall& call, const AttemptOutcome& outcome);
   void reportToLoadBalancer(const AttemptOutcome& outcome, bool callSettled);
   void reportReachability();
-  void reply(CallId id, ActiveCall& call, Reply reply);
+  void reply(CallId id, ActiveCall& call, Reply reply, RefusalCause cause = RefusalCause::loadBalancer);
   void countReply(const ActiveCall& call, ReplyStatus status);
   // The class table for new settings; empty if there are more classes than the table or the counters can
   // hold.
--- a/tests/core/attempt_log_test.cpp
+++ b/tests/core/attempt_log_test.cpp
@@ -34,10 +34,13 @@
 TEST(AttemptLog, SaysOfWhichRequestWasNotServedAfterHowManyAttempts) {
   std::vector<std::string> lines;
   AttemptLog log([&](const std::string& line) { lines.push_back(line); });
-  log.onRefusal(policy::Timestamp{}, "r7", ReplyStatus::rejected, 0, std::chrono::milliseconds(700));
-  log.onRefusal(policy::Timestamp{}, "r8", ReplyStatus::failed, 2, std::chrono::milliseconds(5));
-  EXPECT_EQ(lines, (std::vector<std::string>{"request-rejected request=r7 attempts=0 left_ms=700",
-                                             "request-failed request=r8 attempts=2 left_ms=5"}));
+  log.onRefusal(policy::Timestamp{}, "r7", ReplyStatus::rejected, 0, std::chrono::milliseconds(700),
+                RefusalCause::loadBalancer);
+  log.onRefusal(policy::Timestamp{}, "r8", ReplyStatus::failed, 2, std::chrono::milliseconds(5),
+                RefusalCause::shutdown);
+  EXPECT_EQ(lines, (std::vector<std::string>{
+                       "request-rejected request=r7 attempts=0 left_ms=700 cause=load-balancer",
+                       "request-failed request=r8 attempts=2 left_ms=5 cause=shutdown"}));
 }
 
 TEST(AttemptLog, SaysWhenAndWhyAResponseIsStreamedAndThatAClientHasLeft) {
