Each request has its final reply before the kill, also one whose answer is under way

Callers: a request accepted late in a shutdown was forwarded and had no answer when the process was killed, if its host had begun an answer (half a head, half a JSON-RPC text) and not ended it.

Class: an allowance behind a deadline that is not part of the budget of a shutdown.

Change: ReplyDeadline says when the last reply to a call is given: its deadline and what may follow it, and 160 ms (a hold-up of 150 ms, 10 ms on the way) before the kill at the latest. The engine enforces it for each call whatever its upstream does, from SIGTERM on, so no later allowance can pass it. An answer that could be finished is awaited until 160 ms before the kill; calls beyond the kill had 300 ms.

Tests: those of failCallsPast ask the same of expectKillAt, and that nothing is answered a millisecond earlier; the random one asks that no call awaits its reply then. unsettledWithDeadlineAfter is gone with its only use.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -81,11 +81,6 @@
   return waits;
 }
 
-// Graceful shutdown: time kept for sending the last responses, and the longest time that clients are served
-// as before.
-constexpr Duration kDrainMargin = std::chrono::milliseconds(300);
-constexpr Duration kServeMost = std::chrono::milliseconds(2000);
-
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits,
@@ -360,54 +355,40 @@
   http_.server().setLimits(clientLimits(config, waits_.clients, jsonRpcSettings_));
 }
 
-// How long after the request for a graceful shutdown the platform kills the process, at the earliest.
-Duration Gateway::killedAfter() const {
-  Duration deadline{};
-  for (const policy::ClassSettings& c : settings_.classes) deadline = std::max(deadline, c.clientTimeout);
-  return std::min<Duration>(deadline, kLongestCounted) + kKillSlack;
-}
-
-// How long connected clients are served as before once a graceful shutdown has begun. Gateways are restarted
-// one after the other, and the next may begin its shutdown before the previous one is back: clients whose
-// connections closed at once would then find no gateway to connect to. The time is bounded so that the
-// slowest response can still be sent before the platform kills the process.
-Duration Gateway::serveOn() const {
-  Duration answer{};
-  for (const policy::ClassSettings& c : settings_.classes)
-    answer = std::max(
-        answer, c.lateValueFraction > 0 || c.objectiveCostFactor > 0 ? c.clientTimeout : c.latencyObjective);
-  return std::clamp<Duration>(killedAfter() - answer - kDrainMargin, kAcceptOn, kServeMost);
-}
-
 void Gateway::drain(std::function<void()> done) {
   if (draining_) return;
   draining_ = true;
   drained_ = std::move(done);
   if (fleet_) fleet_->leave();
+  shutdown_ = shutdownSchedule(now(), settings_.classes);
   // If the listening socket is shared, the next process serves already, so each response closes its
   // connection and clients reconnect there. The same holds at once where the deadlines leave no time to go on
   // serving.
-  if (shared_ || serveOn() <= kAcceptOn) http_.server().lastAnswers();
-  killAt_ = now() + killedAfter();
+  if (shared_ || !shutdown_.servesOn()) http_.server().lastAnswers();
+  engine_.expectKillAt(shutdown_.killAt);
+  if (pools_) pools_->expectKillIn(shutdown_.killAt - now());
   logShutdownStep("begun");
-  drainTimer_.expires_after(kAcceptOn);
-  drainTimer_.async_wait(lifetime_.guard([this](error_code ec) {
-    if (ec) return;
-    // A request accepted from here on, such as one whose body arrives slowly, is lost if the process is
-    // killed before its response is sent. So its time is limited to what is left until then.
-    const Duration left = killAt_ - kDrainMargin - now();
-    engine_.limitTimeRemaining(left);
-    if (pools_) pools_->answerWithin(left);
-    logShutdownStep("late-calls-limited");
-    if (shared_) return finishDrain();
-    http_.server().stopListening();
-    drainTimer_.expires_after(serveOn() - kAcceptOn);
-    drainTimer_.async_wait(lifetime_.guard([this](error_code stopped) {
-      if (!stopped) finishDrain();
-    }));
+  callAt(shutdown_.stopListeningAt, &Gateway::onAcceptingOver);
+}
+
+// The next step of a graceful shutdown.
+void Gateway::callAt(Timestamp time, void (Gateway::*step)()) {
+  drainTimer_.expires_at(clock_.at(time));
+  drainTimer_.async_wait(lifetime_.guard([this, step](error_code ec) {
+    if (!ec) (this->*step)();
   }));
 }
 
+void Gateway::onAcceptingOver() {
+  const Duration left = shutdown_.lateDeadline - now();
+  engine_.limitTimeRemaining(left);
+  if (pools_) pools_->limitTimeRemaining(left);
+  logShutdownStep("late-calls-limited");
+  if (shared_) return finishDrain();
+  http_.server().stopListening();
+  callAt(shutdown_.stopServingAt, &Gateway::finishDrain);
+}
+
 // How far a graceful shutdown has come, and what is open then.
 void Gateway::logShutdownStep(std::string_view step) {
   std::size_t calls = engine_.activeCalls(), awaiting = engine_.awaitingReply();
@@ -416,7 +397,7 @@
       calls += pool->engine().activeCalls();
       awaiting += pool->engine().awaitingReply();
     }
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(killAt_ - now());
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(shutdown_.killAt - now());
   std::string line = "shutdown-step step=" + std::string(step);
   line += " kill_in_ms=" + std::to_string(left.count());
   line += " calls=" + std::to_string(calls) + " awaiting_reply=" + std::to_string(awaiting);
@@ -432,14 +413,13 @@
   http_.server().onEmpty = [this] { emptied(httpEmpty_); };
   http_.server().stopAccepting();
   if (jsonRpc_) jsonRpc_->stopAccepting([this] { emptied(jsonRpcEmpty_); });
-  drainTimer_.expires_at(clock_.at(killAt_ - kDrainMargin));
-  drainTimer_.async_wait(lifetime_.guard([this](error_code ec) {
-    if (ec) return;
-    logShutdownStep("last-replies");
-    engine_.failCallsPast(killAt_);
-    if (pools_) pools_->endCallsBeyond(killAt_ - now());
-    if (jsonRpc_) jsonRpc_->stopReading();
-  }));
+  callAt(shutdown_.lateDeadline, &Gateway::stopReading);
+}
+
+// What is not read whole by now is not taken, so that half a text does not hold the process.
+void Gateway::stopReading() {
+  logShutdownStep("reading-ended");
+  if (jsonRpc_) jsonRpc_->stopReading();
 }
 
 void Gateway::emptied(bool& front) {
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -16,13 +16,13 @@
 #include "app/load_balancer_clock.hpp"
 #include "app/memory_monitor.hpp"
 #include "app/pools.hpp"
+#include "app/shutdown_schedule.hpp"
 #include "cairnjunction/load_balancer.hpp"
 #include "common/callback_guard.hpp"
 #include "common/memory_account.hpp"
 #include "config/config.hpp"
 #include "core/engine.hpp"
 #include "core/rate_limited_log.hpp"
-#include "core/reply_margin.hpp"
 #include "discovery/discovery_client.hpp"
 #include "http/frontend.hpp"
 #include "jsonrpc/frontend.hpp"
@@ -32,13 +32,6 @@
 
 namespace cairnjunction {
 
-// How long connections are still accepted after a graceful shutdown began: clients learn of it late.
-inline constexpr std::chrono::milliseconds kAcceptOn{700};
-// The platform kills a process that is still running kKillSlack after the longest client timeout, of which at
-// most kLongestCounted counts.
-inline constexpr std::chrono::milliseconds kKillSlack{700};
-inline constexpr std::chrono::milliseconds kLongestCounted{3000};
-
 class Gateway final : private Runtime {
  public:
   struct Waits {  // timeouts; tests use shorter ones
@@ -95,9 +88,10 @@
   void fromDiscovery(const EndpointList& list);
   void discoveryFailed();
   void emptied(bool& front);
-  policy::Duration killedAfter() const;
-  policy::Duration serveOn() const;
+  void callAt(policy::Timestamp time, void (Gateway::*step)());
+  void onAcceptingOver();
   void finishDrain();
+  void stopReading();
   void logShutdownStep(std::string_view step);
   void appendConnectionFigures(admin::Figures& figures) const;
   void appendMemoryFigures(admin::Figures& figures) const;
@@ -120,7 +114,7 @@
   DiscoveryClient discovery_;
   boost::asio::steady_timer waker_, drainTimer_;
   policy::Timestamp wakeAt_{};
-  policy::Timestamp killAt_{};  // graceful shutdown: the platform kills no sooner than this
+  ShutdownSchedule shutdown_;  // once it has begun
   std::function<void()> drained_;
   bool ready_ = false, draining_ = false;
   bool httpEmpty_ = false, jsonRpcEmpty_ = false;  // graceful shutdown: no connection is left
--- a/src/app/pools.cpp
+++ b/src/app/pools.cpp
@@ -216,12 +216,12 @@
       fixed_[at++]->engine().configure(poolSettings(settings, pools[i], callsMost_));
 }
 
-void Pools::answerWithin(policy::Duration left) {
+void Pools::limitTimeRemaining(policy::Duration left) {
   for (const auto& pool : fixed_) pool->engine().limitTimeRemaining(left);
 }
 
-void Pools::endCallsBeyond(policy::Duration toKill) {
-  for (const auto& pool : fixed_) pool->engine().failCallsPast(pool->engine().now() + toKill);
+void Pools::expectKillIn(policy::Duration left) {
+  for (const auto& pool : fixed_) pool->engine().expectKillAt(pool->engine().now() + left);
 }
 
 void Pools::stop() {
--- a/src/app/pools.hpp
+++ b/src/app/pools.hpp
@@ -94,8 +94,9 @@
 
   bool mayConfigure(const policy::Settings& settings) const;
   void configure(const policy::Settings& settings);
-  void answerWithin(policy::Duration left);      // graceful shutdown: see Engine::limitTimeRemaining
-  void endCallsBeyond(policy::Duration toKill);  // the same
+  // For a graceful shutdown: as the functions of the engine, counted from now.
+  void limitTimeRemaining(policy::Duration left);
+  void expectKillIn(policy::Duration left);
   void stop();
   std::size_t connections() const;
   const std::vector<std::unique_ptr<FixedPool>>& fixed() const { return fixed_; }
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -36,10 +36,10 @@
   possiblyFinished_.clear();
 }
 
-std::vector<CallId> CallTable::unsettledWithDeadlineAfter(policy::Timestamp time) const {
+std::vector<CallId> CallTable::unsettled() const {
   std::vector<CallId> ids;
   for (const auto& [id, call] : calls_)
-    if (!call.settled && call.deadline > time) ids.push_back(id);
+    if (!call.settled) ids.push_back(id);
   return ids;
 }
 
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -41,8 +41,7 @@
   std::size_t size() const { return calls_.size(); }
   // Calls that are neither replied to in full nor abandoned by their client.
   std::size_t awaitingReply() const { return awaitingReply_; }
-  // Calls that are not settled and whose deadline is after `time`.
-  std::vector<CallId> unsettledWithDeadlineAfter(policy::Timestamp time) const;
+  std::vector<CallId> unsettled() const;  // calls that are not settled
   // A call's answer is under way, and its reply is awaited past its deadline.
   void markDelayed(CallId id) { delayed_.push_back(id); }
   // Takes the marks off delayed calls whose deadline is before `time`, and returns those that still wait.
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "core/attempt_rules.hpp"
-#include "core/reply_margin.hpp"
 
 namespace cairnjunction {
 
@@ -18,9 +17,6 @@
 
 namespace {
 
-// Behind a call's deadline: its reply is given then at the latest, whatever becomes of its attempt.
-constexpr Duration kLatestReply = kLateReplyAllowance + kReplyMargin;
-
 // The duration in seconds with one decimal, truncated.
 std::string secondsText(Duration duration) {
   const auto tenths = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count() / 100;
@@ -56,8 +52,9 @@
   const CallId newId = calls_.nextId();
   if (id != nullptr) *id = newId;
   call.attributes.id = newId;
-  if (latestDeadline_ - now < call.attributes.timeRemaining)
-    call.attributes.timeRemaining = std::max(latestDeadline_ - now, Duration{});
+  const Timestamp latestDeadline = now >= replyDeadline_.lastReplyAt() ? now : latestDeadline_;
+  if (latestDeadline - now < call.attributes.timeRemaining)
+    call.attributes.timeRemaining = std::max(latestDeadline - now, Duration{});
   const Timestamp deadline = now + call.attributes.timeRemaining;
   ActiveCall& added = calls_.add(newId, std::move(call), sink, frontendToken, deadline);
   const policy::ClassSettings* const callClass = classes_.find(added.call.attributes.classIndex);
@@ -79,13 +76,9 @@
   cancelAttempts(id);
 }
 
-void Engine::failCallsPast(Timestamp kill) {
-  for (const CallId id : calls_.unsettledWithDeadlineAfter(kill)) {
-    ActiveCall* const call = calls_.find(id);
-    if (call == nullptr || call->settled) continue;  // settled as a consequence of an earlier reply
-    replyUnserved(id, *call, RefusalCause::shutdown);
-    cancelAttempts(id);
-  }
+void Engine::expectKillAt(Timestamp kill) {
+  replyDeadline_.onKillAt(kill);
+  scheduleWake(replyDeadline_.lastReplyAt());
 }
 
 // No client waits for the call any more: cancels its attempts as far as the settings allow.
@@ -131,7 +124,7 @@
   --call->attemptsInFlight;
   call->responsePhase = ResponsePhase::delayed;
   calls_.markDelayed(outcome.key.call);
-  scheduleWake(call->deadline + kLatestReply);
+  scheduleWake(replyDeadline_.latestReply(call->deadline));
   attemptLog_.onDelay(runtime_.now(), call->call.externalId, outcome, balancer_.address(outcome.endpoint));
   reportToLoadBalancer(outcome, true);
   executeActions();
@@ -190,13 +183,26 @@
 
 // An upstream may need longer to end an attempt than the client can be kept waiting for its final answer.
 void Engine::endOverdueCalls(Timestamp now) {
-  for (const CallId id : calls_.takeDelayedWithDeadlineBefore(now - kLatestReply + Duration(1))) {
+  if (now >= replyDeadline_.lastReplyAt()) return endCalls(calls_.unsettled(), RefusalCause::shutdown);
+  endCalls(calls_.takeDelayedWithDeadlineBefore(now - kLatestReply + Duration(1)),
+           RefusalCause::replyOverdue);
+  if (const auto next = nextReplyDue()) scheduleWake(*next);
+}
+
+void Engine::endCalls(const std::vector<CallId>& ids, RefusalCause cause) {
+  for (const CallId id : ids) {
     ActiveCall* const call = calls_.find(id);
     if (call == nullptr || call->settled) continue;  // settled as a consequence of an earlier reply
-    replyUnserved(id, *call, RefusalCause::replyOverdue);
+    replyUnserved(id, *call, cause);
     cancelAttempts(id);
   }
-  if (const auto next = calls_.earliestDelayedDeadline()) scheduleWake(*next + kLatestReply);
+}
+
+// When endOverdueCalls() has to be called next; empty: not before a call is delayed.
+std::optional<Timestamp> Engine::nextReplyDue() {
+  if (const auto earliest = calls_.earliestDelayedDeadline()) return replyDeadline_.latestReply(*earliest);
+  if (replyDeadline_.lastReplyAt() == Timestamp::max()) return std::nullopt;
+  return replyDeadline_.lastReplyAt();
 }
 
 void Engine::finishStreamed(CallId id, ActiveCall& call, const AttemptOutcome& outcome) {
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -36,6 +36,7 @@
 #include "core/rate_limited_log.hpp"
 #include "core/reply.hpp"
 #include "core/reply_counters.hpp"
+#include "core/reply_deadline.hpp"
 #include "core/runtime.hpp"
 #include "core/upstream.hpp"
 #include "membership/endpoint_health.hpp"
@@ -111,9 +112,9 @@
   policy::EndpointId findEndpoint(std::string_view address) const { return balancer_.findEndpoint(address); }
   // For a graceful shutdown: calls accepted from now on have their deadline within `left` from now.
   void limitTimeRemaining(policy::Duration left) { latestDeadline_ = now() + left; }
-  // To be called just before the process is killed at the time `kill`: calls whose deadline is later get
-  // their final reply now, since the process cannot reply to them afterwards.
-  void failCallsPast(policy::Timestamp kill);
+  // For a graceful shutdown: the process may be killed at `kill`. Each call has its final reply by
+  // ReplyDeadline::lastReplyAt(), whatever its deadline is and its attempts do; from then on no call is sent.
+  void expectKillAt(policy::Timestamp kill);
   // Calls that are not finished, including settled calls with an attempt in flight or a streaming answer.
   std::size_t activeCalls() const { return calls_.size(); }
   // Calls that are neither replied to in full nor abandoned by their client.
@@ -131,6 +132,8 @@
   void scheduleWake(policy::Timestamp at);
   void cancelAttempts(CallId id);
   void endOverdueCalls(policy::Timestamp now);
+  void endCalls(const std::vector<CallId>& ids, RefusalCause cause);
+  std::optional<policy::Timestamp> nextReplyDue();
   void replyUnserved(CallId id, ActiveCall& call, RefusalCause cause);
   void finishAttempt(AttemptOutcome outcome);
   static void recordExecution(ActiveCall& call, policy::Outcome outcome);
@@ -159,6 +162,7 @@
   bool executing_ = false;                       // executeActions() is running further up the stack
   std::optional<policy::Timestamp> nextWakeAt_;  // earliest time requested since the last wake()
   policy::Timestamp latestDeadline_ = policy::Timestamp::max();  // upper bound for calls accepted from now on
+  ReplyDeadline replyDeadline_;
   std::uint64_t violations_ = 0;
 };
 
--- a/tests/core/call_table_test.cpp
+++ b/tests/core/call_table_test.cpp
@@ -94,12 +94,14 @@
   EXPECT_EQ(table.size(), 2u);
 }
 
-TEST_F(CallTableTest, UnsettledCallsAreSelectedByLaterDeadline) {
-  add("at", 2s);
+TEST_F(CallTableTest, UnsettledCallsAreSelectedWhateverTheirDeadline) {
+  const CallId at = add("at", 2s);
   const CallId later = add("later", 2001ms);
   const CallId settled = add("settled", 9s);
   table.find(settled)->settled = true;
-  EXPECT_EQ(table.unsettledWithDeadlineAfter(Timestamp{} + 2s), std::vector<CallId>{later});
+  std::vector<CallId> ids = table.unsettled();
+  std::sort(ids.begin(), ids.end());
+  EXPECT_EQ(ids, (std::vector<CallId>{at, later}));
 }
 
 TEST_F(CallTableTest, ClassesOfOpenCallsAreInUse) {
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -231,9 +231,9 @@
   acceptCall(1, "a");
 }
 
-// The process is about to be killed. A call with a later deadline gets its final reply before that, whether
-// it is in flight, queued by key or between two attempts, and no attempt of it starts afterwards.
-TEST_F(EngineTest, CallsWithADeadlineAfterTheKillGetTheirReplyBeforeIt) {
+// The process is about to be killed. Each call gets its final reply before that, whether it is in flight,
+// queued by key or between two attempts, and no attempt of it starts afterwards.
+TEST_F(EngineTest, EachCallGetsItsReplyBeforeTheKill) {
   for (const bool cancel : {true, false}) {
     SCOPED_TRACE(cancel);
     policy::Settings policySettings = settings(7);
@@ -259,19 +259,22 @@
     const CallId endsBefore = acceptCall(0, "within", 400ms);
     ASSERT_EQ(upstream.started["sent"], 1);
     ASSERT_EQ(upstream.started["in turn"], 0);
-    engine->failCallsPast(runtime.at + 500ms);
+    engine->expectKillAt(runtime.at + 460ms);
+    advance(100ms);
+    upstream.end({endsBefore, 0}, Outcome::served);
+    advance(199ms);
+    ASSERT_EQ(sink.replies.size(), 1u) << "the others are left alone until 160 ms before the kill";
+    advance(1ms);
     const auto statusOf = [&](std::uint64_t replyToken) { return sink.replies[replyToken].at(0).status; };
-    ASSERT_EQ(sink.replies.size(), 3u);
+    ASSERT_EQ(sink.replies.size(), 4u);
     EXPECT_EQ(statusOf(1), ReplyStatus::failed) << "it may be executed";
     EXPECT_EQ(statusOf(2), ReplyStatus::rejected) << "it was never sent";
     EXPECT_EQ(statusOf(3), ReplyStatus::failed) << "its first attempt may have been executed";
-    EXPECT_EQ(engine->awaitingReply(), 1u);
+    EXPECT_EQ(statusOf(4), ReplyStatus::ok) << "it was answered before";
+    EXPECT_EQ(engine->awaitingReply(), 0u);
     const auto started = upstream.started;
-    for (const AttemptKey key : upstream.keysInFlight())
-      if (key.call != endsBefore) upstream.end(key, Outcome::reset);
+    for (const AttemptKey key : upstream.keysInFlight()) upstream.end(key, Outcome::reset);
     EXPECT_EQ(upstream.started, started);
-    upstream.end({endsBefore, 0}, Outcome::served);
-    EXPECT_EQ(statusOf(4), ReplyStatus::ok) << "its deadline is before the kill";
     EXPECT_EQ(engine->activeCalls(), 0u);
     for (const auto& [replyToken, replies] : sink.replies) EXPECT_EQ(replies.size(), 1u);
   }
@@ -522,7 +525,8 @@
   EXPECT_EQ(replyStatus(), ReplyStatus::failed);
   EXPECT_EQ(upstream.cancels.back(), (AttemptKey{overdue, 1}));
   delayedAfter(Outcome::connectFailed, 1, "killed");
-  engine->failCallsPast(runtime.at + 100ms);
+  engine->expectKillAt(runtime.at + 260ms);
+  advance(100ms);
   EXPECT_EQ(replyStatus(), ReplyStatus::failed);
 }
 
@@ -568,12 +572,47 @@
   start();
   const CallId id = acceptCall(1, "a");
   delay(id);
-  engine->failCallsPast(runtime.at + 100ms);
+  engine->expectKillAt(runtime.at + 260ms);
+  advance(99ms);
+  EXPECT_TRUE(sink.replies[token].empty()) << "its answer is under way";
+  advance(1ms);
   ASSERT_EQ(sink.replies[token].size(), 1u);
   EXPECT_EQ(sink.replies[token][0].status, ReplyStatus::failed) << "it may have run";
   EXPECT_EQ(engine->activeCalls(), 0u);
 }
 
+// A call that was accepted late in a shutdown: its answer was awaited past its deadline, and past the kill.
+TEST_F(DelayedAnswer, OfACallThatWasAcceptedLateIsNotAwaitedPastTheKill) {
+  for (const Duration behindDeadline : {-50ms, 0ms, 50ms}) {
+    start();
+    engine->expectKillAt(runtime.at + 700ms);
+    engine->limitTimeRemaining(400ms);
+    const CallId id = acceptCall(1, "a");
+    advance(350ms);
+    delay(id);
+    advance(50ms + behindDeadline);
+    EXPECT_TRUE(sink.replies[token].empty());
+    advance(140ms - behindDeadline);
+    EXPECT_EQ(replyStatus(), ReplyStatus::failed) << "160 ms before the kill";
+    EXPECT_EQ(upstream.cancels.back(), (AttemptKey{id, 0}));
+  }
+}
+
+// Also where its class has more time than the process, and no limit was set when it was accepted.
+TEST_F(EngineTest, CallAcceptedAfterTheLastReplyIsRejectedAndNotSent) {
+  start();
+  engine->expectKillAt(runtime.at + 200ms);
+  acceptCall(1, "before");
+  EXPECT_EQ(upstream.started["before"], 1);
+  advance(100ms);
+  for (const std::uint32_t classIndex : {0u, 1u, 2u}) {
+    acceptCall(classIndex, "behind" + std::to_string(classIndex));
+    ASSERT_EQ(sink.replies[token].size(), 1u);
+    EXPECT_EQ(sink.replies[token][0].status, ReplyStatus::rejected);
+  }
+  EXPECT_EQ(upstream.started.size(), 1u);
+}
+
 // Slow answers of sound endpoints must not look like failures, by which others would be rejected.
 TEST_F(DelayedAnswer, IsNoFailureOfItsEndpoint) {
   start();
@@ -649,6 +688,7 @@
   std::map<std::string, bool> mayHaveExecutedOnce;  // by external id
   std::map<CallId, std::string> externalIds;
   std::map<std::string, int> startedAtDisconnect;  // number of attempts, by external id
+  Timestamp lastReplyAt = Timestamp::max();
   for (int i = 0; i < 3000; ++i) {
     switch (below(10)) {
       case 0:
@@ -690,8 +730,14 @@
         engine->clientDisconnected(id);
         break;
       }
-      case 7: advance(std::chrono::milliseconds(below(40))); break;
-      case 8: engine->failCallsPast(runtime.at + std::chrono::milliseconds(below(4000))); break;
+      case 7:
+        advance(std::chrono::milliseconds(below(40)));
+        if (runtime.at >= lastReplyAt) EXPECT_EQ(engine->awaitingReply(), 0u) << "the kill is near";
+        break;
+      case 8:
+        lastReplyAt = runtime.at + std::chrono::milliseconds(below(below(2) == 0 ? 40 : 4000));
+        engine->expectKillAt(lastReplyAt + 160ms);
+        break;
       case 9: {
         const auto keys = upstream.keysInFlight();
         if (keys.empty()) break;
