An HTTP/1.0 answer that the kill cuts ends by a reset, not by an orderly end

Callers: a client of HTTP/1.0 reads an answer without a length to the end of its connection. With the answer still streaming at the kill it got an orderly end, and took the part for the whole.

Cause: the session asked the system for a reset only in its own close(); when the process is killed, the system closes the socket in order.

Change: the socket is set to end by a reset as soon as such an answer begins, and back once its last byte is written. So nothing has to be closed ahead of the kill, and an answer that ends 100 ms before it is served whole (tested). The ends inside the process (host broken, memory, timeouts) go the same way as before.

--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -69,9 +69,6 @@
   server_->queue(state_).erase(queuePosition_);
   state_ = State::closed;
   error_code ignored;
-  // If the response body ends with the connection, a normal close would make a truncated response look
-  // complete. So the connection is reset instead.
-  if (rest_ && framing_ == Framing::close) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   socket_.close(ignored);
   if (const auto stream = std::exchange(rest_, nullptr)) stream->leave();
   server_->onSessionClosed(reason);
@@ -373,6 +370,7 @@
   rest_ = std::move(response.rest);
   // HTTP/1.0 has no chunked coding: there the response ends with the connection.
   framing_ = !rest_ || response.length ? Framing::length : isHttp10_ ? Framing::close : Framing::chunks;
+  if (framing_ == Framing::close) resetOnClose(true);
   keepAfter_ = keep && framing_ != Framing::close;
   responseBytes_ = responseText(response, keepAfter_, framing_);
   if (rest_)
@@ -383,6 +381,13 @@
   write();
 }
 
+// If the response body ends with the connection, a normal end would make a truncated response look complete.
+// The system ends the connection by a reset instead while this is set, also when the process is killed.
+void HttpServer::Session::resetOnClose(bool reset) {
+  error_code ignored;
+  socket_.set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 void HttpServer::Session::onStreamChanged() {
   chargeResponse();
   writeRest();
@@ -422,6 +427,7 @@
     if (rest_->state() == BodyStream::State::flowing) return enter(State::streaming);
     if (rest_->state() == BodyStream::State::broken) return close(HttpCloseReason::endpointBroke);
     rest_ = nullptr;
+    if (framing_ == Framing::close) resetOnClose(false);
     if (framing_ == Framing::chunks) {
       responseBytes_ = kLastChunk;
       enter(State::writing);
--- a/src/http/session.hpp
+++ b/src/http/session.hpp
@@ -81,6 +81,7 @@
   void writeRest();
   void beginNextRequest();
   void lingeringClose();
+  void resetOnClose(bool reset);
   void onStreamChanged();
   void chargeResponse();
 
