A request that is not whole 0.3 s before the kill is rejected

Callers: a request whose last byte came in the last moments before the kill had no answer, where the process was held up.

Cause: HTTP connections with a part of a request were read until the kill; a request that was whole then was rejected at once, if the process was running. JSON-RPC stops reading 0.3 s before the kill.

Change: HttpServer::stopReading reads what has arrived and rejects each request that is still a part (503), also one that begins behind an answer under way; figure refused.shutting_down. A whole request had no time left from then on, so nothing is refused that was served.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -423,6 +423,7 @@
 // What is not read whole by now is not taken, so that half a text does not hold the process.
 void Gateway::stopReading() {
   logShutdownStep("reading-ended");
+  http_.server().stopReading();
   if (jsonRpc_) jsonRpc_->stopReading();
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -312,6 +312,16 @@
   if (openCount_ == 0) notifyEmpty();
 }
 
+void HttpServer::stopReading() {
+  rejectPartial_ = true;
+  const std::vector<std::shared_ptr<Session>> partial(queue(State::begun).begin(), queue(State::begun).end());
+  for (const auto& session : partial) {
+    // The last byte of the request may have arrived just now.
+    if (session->hasUnreadBytes()) session->readable();
+    if (session->state() == State::begun) session->endPartialRequest();
+  }
+}
+
 void HttpServer::sweep() {
   struct Timeout {
     State state;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -40,10 +40,11 @@
   tooSlow,        // 408
   tooLarge,       // 413
   tooManyFields,  // 431
-  outOfMemory     // 503
+  outOfMemory,    // 503
+  shuttingDown    // 503
 };
-inline constexpr std::array<std::string_view, 5> kRequestErrorNames{"malformed", "too_slow", "too_large",
-                                                                    "too_many_fields", "out_of_memory"};
+inline constexpr std::array<std::string_view, 6> kRequestErrorNames{
+    "malformed", "too_slow", "too_large", "too_many_fields", "out_of_memory", "shutting_down"};
 
 // Why a connection was closed.
 enum class HttpCloseReason {
@@ -114,6 +115,9 @@
   void lastAnswers();
   void stopListening();  // accepts the backlog, then closes the listener; open connections stay
   void stopAccepting();  // stopListening(), and closes each connection once it is idle
+  // After stopAccepting(): each request that is not whole now, or only in part when its turn comes, is
+  // rejected.
+  void stopReading();
   std::size_t connections() const { return openCount_; }
 
   // Requests that were rejected and connections that were closed since construction, by reason.
@@ -177,6 +181,7 @@
   ExchangeId lastExchange_ = 0;
   bool closeAfterResponse_ = false;  // lastAnswers() was called
   bool closeIdle_ = false;           // stopAccepting() was called
+  bool rejectPartial_ = false;       // stopReading() was called
   bool recordClientAddresses_ = false;
   CallbackGuard lifetime_;  // guards callbacks still queued in the event loop
 };
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -40,7 +40,8 @@
     case RequestError::tooSlow: return http::status::request_timeout;
     case RequestError::tooLarge: return http::status::payload_too_large;
     case RequestError::tooManyFields: return http::status::request_header_fields_too_large;
-    case RequestError::outOfMemory: return http::status::service_unavailable;
+    case RequestError::outOfMemory:
+    case RequestError::shuttingDown: return http::status::service_unavailable;
   }
   return http::status::bad_request;
 }
@@ -176,6 +177,7 @@
   chargeRequest();
   if (!server_->makeRequestRoom(*this)) return reject(RequestError::outOfMemory);
   if (parser_->is_done()) return handOver();
+  if (server_->rejectPartial_) return endPartialRequest();
   if (bodyBegun_) enter(State::begun);  // progress: restarts the timeout
   return isTooSlow(parser_->request().body().size()) ? reject(RequestError::tooSlow) : waitReadable();
 }
--- a/src/http/session.hpp
+++ b/src/http/session.hpp
@@ -35,6 +35,8 @@
   void readable();                            // reads the available bytes, if any
   // Ends a partial request that has stalled, to free its memory: 503.
   void shedPartialRequest() { reject(RequestError::outOfMemory); }
+  // Ends a partial request in a graceful shutdown, so that it is not whole when nobody can answer it: 503.
+  void endPartialRequest() { reject(RequestError::shuttingDown); }
 
   // Whether no input is left to process, neither in the buffer nor at the socket.
   bool hasNoInput() const { return buffer_.size() == 0 && !hasUnreadBytes(); }
--- a/tests/app/shutdown_test.cpp
+++ b/tests/app/shutdown_test.cpp
@@ -171,6 +171,20 @@
   expectAnswers();
 }
 
+// Its last byte comes when a process that is held up can't answer any more.
+TEST_F(ShutdownTest, RequestThatIsWholeOnlyJustBeforeTheKillIsAnswered) {
+  const milliseconds kill{3700};
+  for (const milliseconds beforeKill : {milliseconds(10), milliseconds(140), milliseconds(290)}) {
+    ShutdownCase planned = between(kSides[0], std::to_string(beforeKill.count()) + " ms before the kill");
+    planned.form = RequestForm::slowBody;
+    planned.takenAt = kill - beforeKill;
+    planned.signals = {{kill - kHoldUp, SIGSTOP}, {kill, SIGCONT}};
+    add(planned);
+  }
+  play();
+  for (const auto& run : runs) EXPECT_TRUE(run->isAnsweredInTime()) << run->describe();
+}
+
 TEST_F(ShutdownTest, KeyedRequestThatRanBeforeIsFailedBeforeTheKill) {
   for (const Sides& sides : kSides)
     for (const bool isSilent : {true, false}) {
