A soak of shutdowns: half heads, hold-ups and crowds, clients that go on until the kill

Cause: no soak had hosts that fall silent within a head, so nothing saw the replies that were due past the kill.

It counts what hosts had of the requests accepted late in a stop, by how they ended.

--- a/tests/soak/answer_plan.cpp
+++ b/tests/soak/answer_plan.cpp
@@ -111,6 +111,7 @@
       pieces.push_back({none, headBytes});
       pieces.push_back({none, headBytes + (textBytes - headBytes) / 2});
       break;
+    case AnswerShape::stalledHead: pieces.push_back({none, headBytes / 2}); break;
   }
   return pieces;
 }
--- a/tests/soak/request_drawer.hpp
+++ b/tests/soak/request_drawer.hpp
@@ -21,6 +21,8 @@
  private:
   std::size_t drawBytes(std::mt19937_64& random) const;
   std::chrono::milliseconds drawLateness(std::mt19937_64& random) const;
+  // `left`: of the client's time, in ms.
+  static void drawHalfHead(AnswerPlan& plan, int left, std::mt19937_64& random);
   void drawAnswer(SlowWork work, PlannedRequest& request, std::mt19937_64& random) const;
 
   const SlowAnswerRunOptions& options_;
--- a/tests/soak/slow_answer_run.hpp
+++ b/tests/soak/slow_answer_run.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "soak/slow_answer_classes.hpp"
 #include "soak/slow_host.hpp"
 
 namespace cairnjunction::soak {
@@ -19,6 +20,7 @@
   lateAnswers,    // answers whose head comes within it and that end shortly before it, or go on past it
   silentAnswers,  // answers that begin and fall silent for ever, among sound ones
   slowReads,      // large requests that are read slowly and answered at once
+  halfHeads,      // heads that fall silent, or end around their client's time, among sound answers
   mixed           // each request draws one of the others
 };
 
@@ -44,6 +46,8 @@
   int crowd = 0;                                          // clients that write, stop and read slowly
   std::size_t smallestBytes = 0, largestBytes = 4 << 20;  // of an answer
   std::optional<AnswerShape> shape;                       // of all answers; empty: drawn for each
+  ClassTable classes = kClasses;
+  int holdUps = 0;  // of the gateway within a stop; only whether requests are answered is judged then
   std::chrono::milliseconds length{5000};
 };
 
