Requests that are rejected at the end of a shutdown add no figure

Change: such a request is answered 503 without a count of its own; the log says how many (shutdown-rejected).

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -423,7 +423,8 @@
 // What is not read whole by now is not taken, so that half a text does not hold the process.
 void Gateway::stopReading() {
   logShutdownStep("reading-ended");
-  http_.server().stopReading();
+  const std::size_t rejected = http_.server().stopReading();
+  if (rejected > 0) log_("shutdown-rejected partial_requests=" + std::to_string(rejected));
   if (jsonRpc_) jsonRpc_->stopReading();
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -312,14 +312,18 @@
   if (openCount_ == 0) notifyEmpty();
 }
 
-void HttpServer::stopReading() {
+std::size_t HttpServer::stopReading() {
   rejectPartial_ = true;
   const std::vector<std::shared_ptr<Session>> partial(queue(State::begun).begin(), queue(State::begun).end());
+  std::size_t rejected = 0;
   for (const auto& session : partial) {
     // The last byte of the request may have arrived just now.
     if (session->hasUnreadBytes()) session->readable();
-    if (session->state() == State::begun) session->endPartialRequest();
+    if (session->state() != State::begun) continue;
+    session->endPartialRequest();
+    ++rejected;
   }
+  return rejected;
 }
 
 void HttpServer::sweep() {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -40,11 +40,10 @@
   tooSlow,        // 408
   tooLarge,       // 413
   tooManyFields,  // 431
-  outOfMemory,    // 503
-  shuttingDown    // 503
+  outOfMemory     // 503
 };
-inline constexpr std::array<std::string_view, 6> kRequestErrorNames{
-    "malformed", "too_slow", "too_large", "too_many_fields", "out_of_memory", "shutting_down"};
+inline constexpr std::array<std::string_view, 5> kRequestErrorNames{"malformed", "too_slow", "too_large",
+                                                                    "too_many_fields", "out_of_memory"};
 
 // Why a connection was closed.
 enum class HttpCloseReason {
@@ -117,7 +116,8 @@
   void stopAccepting();  // stopListening(), and closes each connection once it is idle
   // After stopAccepting(): each request that is not whole now, or only in part when its turn comes, is
   // rejected.
-  void stopReading();
+  // Returns the number of those that were rejected now.
+  std::size_t stopReading();
   std::size_t connections() const { return openCount_; }
 
   // Requests that were rejected and connections that were closed since construction, by reason.
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -40,8 +40,7 @@
     case RequestError::tooSlow: return http::status::request_timeout;
     case RequestError::tooLarge: return http::status::payload_too_large;
     case RequestError::tooManyFields: return http::status::request_header_fields_too_large;
-    case RequestError::outOfMemory:
-    case RequestError::shuttingDown: return http::status::service_unavailable;
+    case RequestError::outOfMemory: return http::status::service_unavailable;
   }
   return http::status::bad_request;
 }
@@ -267,11 +266,22 @@
 }
 
 void HttpServer::Session::reject(RequestError error) {
-  keepAlive_ = false;
   ++server_->rejections_[static_cast<std::size_t>(error)];
   HttpResponse response;
   response.status = statusOf(error);
   if (error == RequestError::outOfMemory) response.fields.add("Retry-After", "1");
+  respondToUnread(std::move(response));
+}
+
+void HttpServer::Session::endPartialRequest() {
+  HttpResponse response;
+  response.status = http::status::service_unavailable;
+  respondToUnread(std::move(response));
+}
+
+// The rest of the request is not read, so the response is the last of the connection.
+void HttpServer::Session::respondToUnread(HttpResponse response) {
+  keepAlive_ = false;
   buffer_.consume(buffer_.size());
   resetParser();
   respond(std::move(response));
--- a/src/http/session.hpp
+++ b/src/http/session.hpp
@@ -36,7 +36,7 @@
   // Ends a partial request that has stalled, to free its memory: 503.
   void shedPartialRequest() { reject(RequestError::outOfMemory); }
   // Ends a partial request in a graceful shutdown, so that it is not whole when nobody can answer it: 503.
-  void endPartialRequest() { reject(RequestError::shuttingDown); }
+  void endPartialRequest();
 
   // Whether no input is left to process, neither in the buffer nor at the socket.
   bool hasNoInput() const { return buffer_.size() == 0 && !hasUnreadBytes(); }
@@ -66,6 +66,7 @@
   bool isTooSlow(std::size_t bodyBytes) const;
   void sendContinue();
   void reject(RequestError error);
+  void respondToUnread(HttpResponse response);
   void chargeRequest();
   const boost::asio::ip::address& client();
 
