A list that is still coming is sent for 129 ms in its test, not for 86 ms

The list had been taken, as it should.

Change: 3 ms a byte, so the last piece is written 129 ms behind the begin. The expectation is as it was.

--- a/tests/discovery/endpoint_list_call_test.cpp
+++ b/tests/discovery/endpoint_list_call_test.cpp
@@ -130,7 +130,7 @@
   start(50ms);
   const auto begun = std::chrono::steady_clock::now();
   for (std::size_t sent = 3; sent < answer.size(); sent += 20) {
-    const auto next = begun + sent * 2ms;
+    const auto next = begun + sent * 3ms;
     ASSERT_TRUE(until([&] { return std::chrono::steady_clock::now() > next; }));
     ASSERT_FALSE(result);
     server.connections.front()->reply(answer.substr(sent, 20));
